--- /dev/null
+++ b/src/yuccabeam/adapters/curl_handle.cpp
@@ -0,0 +1,82 @@
+#include "curl_handle.hpp"
+
+#include <cstdlib>
+
+namespace yuccabeam::adapters {
+
+curl_slist_ptr set_request(CURL* easy, std::string const& method,
+                           http_fields const& fields, std::string const& body) {
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
+    if (method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else {
+        bool const has_body =
+            !body.empty() || method == "POST" || method == "PUT";
+        if (has_body) {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(body.size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data());
+        }
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+    }
+    // Fields that libcurl adds by itself.
+    curl_slist* list = curl_slist_append(nullptr, "Expect:");
+    bool has_type = false;
+    bool has_accept = false;
+    for (auto const& field : fields) {
+        has_type = has_type || same_field_name(field.name, "Content-Type");
+        has_accept = has_accept || same_field_name(field.name, "Accept");
+        // libcurl removes a field that has no value after the colon, and
+        // sends it empty when it ends with a semicolon.
+        auto const line = field.value.empty() ? field.name + ";"
+                                              : field.name + ": " + field.value;
+        list = curl_slist_append(list, line.c_str());
+    }
+    if (!has_type)
+        list = curl_slist_append(list, "Content-Type:");
+    if (!has_accept)
+        list = curl_slist_append(list, "Accept:");
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+    return curl_slist_ptr(list);
+}
+
+void add_header_line(http_reply& reply, std::string_view line) {
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+        line.remove_suffix(1);
+    if (line.starts_with("HTTP/")) {
+        reply = {};
+        auto const space = line.find(' ');
+        reply.status =
+            space == std::string_view::npos
+                ? 0
+                : std::atoi(std::string(line.substr(space + 1)).c_str());
+        return;
+    }
+    auto const colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return;
+    auto value = line.substr(colon + 1);
+    while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
+        value.remove_prefix(1);
+    reply.fields.push_back(
+        {std::string(line.substr(0, colon)), std::string(value)});
+}
+
+bool nothing_sent(CURL* easy, CURLcode code) {
+    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+        code == CURLE_URL_MALFORMAT)
+        return true;
+    long request_bytes = 0;
+    curl_off_t pretransfer_us = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
+    return request_bytes == 0 && pretransfer_us == 0;
+}
+
+} // namespace yuccabeam::adapters
