Add routing, limits and retry

Cause: the daemon needs target selection, admission, retry and at-most-once decisions; only headers existed.

Change: route table, two-choice selection, rendezvous homes and bounded subsets, concurrency limit, admission queue, retry budget and decision, tickets with the owner's table, key claims and their rate; table tests and properties beside them; a program that measures subsets.

Conclusion: the interfaces of the header draft hold, except that cancel of the queue takes no time.

--- a/include/yuccabeam/limits/admission_queue.hpp
+++ b/include/yuccabeam/limits/admission_queue.hpp
@@ -4,7 +4,6 @@
 #include "yuccabeam/values/rules.hpp"
 #include "yuccabeam/values/time.hpp"
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -85,7 +84,8 @@
     admission_queue& operator=(admission_queue&&) noexcept;
 
     /// Adds an entry. Returns drops: of this entry, when it can't finish in
-    /// time or the queue is full, or of the entry that made room for it.
+    /// time or the queue is full, or of the entry that made room for it, and
+    /// of other entries whose time ran out.
     std::vector<queue_action> push(queue_entry const& entry, time_point now);
 
     /// Dispatches up to `free_slots` entries and drops those that can't
@@ -93,7 +93,7 @@
     std::vector<queue_action> take(std::size_t free_slots, time_point now);
 
     /// Removes an entry whose caller went away; false when it isn't queued.
-    bool cancel(entry_id id, time_point now);
+    bool cancel(entry_id id);
 
     std::size_t size() const;
     bool empty() const { return size() == 0; }
--- a/include/yuccabeam/limits/concurrency_limit.hpp
+++ b/include/yuccabeam/limits/concurrency_limit.hpp
@@ -32,8 +32,11 @@
     duration slow_at_least = std::chrono::milliseconds(20);
     /// Answers to requests sent before a decrease don't cause another one.
     duration decrease_pause = std::chrono::milliseconds(100);
-    /// Share by which a higher latency moves the baseline up.
-    double baseline_rise = 0.01;
+    /// Share by which one answer moves the baseline.
+    double baseline_step = 0.01;
+    /// The same for a slow answer; smaller, so that the baseline doesn't
+    /// follow an overload, but a lasting change is learned in the end.
+    double slow_baseline_step = 0.001;
 };
 
 /// Adaptive concurrency limit of one target between 1 and its slots:
@@ -51,16 +54,18 @@
     void resize(std::uint32_t slots);
 
     std::uint32_t limit() const { return static_cast<std::uint32_t>(limit_); }
+    /// Running median of the latency; zero before the first answer.
     duration baseline() const { return baseline_; }
 
 private:
     bool is_slow(attempt_report const& report) const;
-    void learn_baseline(duration latency);
+    void learn_baseline(duration latency, bool slow);
 
     concurrency_limit_options options_;
     double slots_;
     double limit_;
     duration baseline_{};
+    std::uint32_t answers_ = 0;
     time_point pause_until_ = time_point::min();
 };
 
--- a/include/yuccabeam/retry/key_claim.hpp
+++ b/include/yuccabeam/retry/key_claim.hpp
@@ -87,6 +87,8 @@
         ended
     };
 
+    claim_action on_create_reply(claim_event const& event, time_point now);
+    claim_action on_read_reply(claim_event const& event, time_point now);
     claim_action run_or_give_up(time_point now);
     claim_action end_with(claim_action action);
 
