Fold spared targets into grants

A bad target that the budget does not cover needs the same hold-down and trials as an ejected one, so both share one struct with a reason field. Windows are sent as an age, which takes 1 byte instead of 5 in MessagePack.

--- a/include/yuccabeam/health/messages.hpp
+++ b/include/yuccabeam/health/messages.hpp
@@ -15,8 +15,9 @@
 struct evidence_window {
     std::uint32_t target = 0; ///< index into `evidence_report::targets`
     std::uint32_t kind = 0;   ///< index into `evidence_report::kinds`
-    std::uint64_t window = 0; ///< observer's boot time in whole seconds
-    std::uint32_t ok = 0;     ///< complete answers within the allowance
+    /// Windows of 1 s between this one and `evidence_report::window`.
+    std::uint32_t age = 0;
+    std::uint32_t ok = 0; ///< complete answers within the allowance
     /// Complete answers above the allowance, or requests in flight that have
     /// passed it.
     std::uint32_t slow = 0;
@@ -52,7 +53,8 @@
     std::uint64_t observer_incarnation = 0;
     std::string failure_domain; ///< of the observer
     std::uint64_t sequence = 0; ///< grows with each report of an incarnation
-    std::uint64_t window = 0;   ///< observer's window when it sent the report
+    /// Observer's window of 1 s (whole seconds of its boot clock) at sending.
+    std::uint64_t window = 0;
     /// The sender supports the arbiter for one lease from sending.
     bool support = false;
     /// Newest table that the sender has of this arbiter (0: none). It proves
@@ -87,7 +89,8 @@
 };
 
 /// Permission to eject one target, valid for 4 s from the moment the
-/// receiver sent the report that the table answers.
+/// receiver sent the report that the table answers. With `spared` set it is
+/// no permission: the target is bad, and receivers treat it as suspect.
 struct grant {
     std::string target;
     /// Failure domain whose observers eject the target; empty: all observers.
@@ -99,6 +102,9 @@
     std::uint32_t trial_round = 0;
     std::uint32_t trial_interval_ms = 0;
     std::uint32_t relapses = 0;
+    /// Why the target is not ejected: `budget` or `domain-lost`; empty: it
+    /// is ejected.
+    std::string spared;
     verdict_evidence evidence;
 
     auto operator<=>(grant const&) const = default;
@@ -113,17 +119,6 @@
     auto operator<=>(returning_target const&) const = default;
 };
 
-/// A target that the arbiter finds bad but does not eject. Receivers treat
-/// it as suspect.
-struct spared_target {
-    std::string target;
-    std::string scope;  ///< as in `grant`
-    std::string reason; ///< `budget`, `degraded` or `domain-lost`
-    verdict_evidence evidence;
-
-    auto operator<=>(spared_target const&) const = default;
-};
-
 /// Median latency of one kind over all targets and observers.
 struct latency_reference {
     std::string kind;
@@ -144,7 +139,6 @@
     std::uint64_t report_sequence = 0;
     std::vector<grant> grants;
     std::vector<returning_target> returning;
-    std::vector<spared_target> spared;
     std::vector<std::string> leaving;
     std::vector<latency_reference> references;
     bool degraded = false;
