Add the observer's side of the health module

service_health judges targets from local evidence, reports to the arbiter and applies its tables with fencing, validity and the local floor check.

--- /dev/null
+++ b/include/yuccabeam/health/support.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "yuccabeam/health/options.hpp"
+#include "yuccabeam/values/ids.hpp"
+#include "yuccabeam/values/time.hpp"
+
+#include <cstdint>
+#include <map>
+
+namespace yuccabeam::health {
+
+/// Supporter's side: binds itself to one arbiter at a time.
+class support_giver {
+public:
+    support_giver(duration lease, time_point start)
+        : lease_(lease), free_at_(start + lease) {}
+
+    /// Whether a report sent now to `arbiter` may promise support. A promise
+    /// lasts one lease from now. An earlier incarnation of this daemon may
+    /// have promised too, so the first lease after the start gives none.
+    bool promise(daemon_id const& arbiter, time_point now);
+
+    /// End of the last promise.
+    time_point bound_until() const { return free_at_; }
+
+private:
+    duration lease_;
+    daemon_id arbiter_;
+    time_point free_at_;
+};
+
+/// Arbiter's side: counts the supporters whose promises hold.
+///
+/// A report may be delayed without bound, so its time of receipt proves
+/// nothing about the end of the promise. Each report echoes a table of this
+/// arbiter and was sent after it, so the promise holds for at least one
+/// lease from the time of that table.
+///
+/// A supporter counts only after `grant_validity + margin` of unbroken
+/// promises: grants that its previous arbiter issued on its support have
+/// then expired.
+class support_ledger {
+public:
+    explicit support_ledger(grant_options const& options) : options_(options) {}
+
+    /// Notes a promise by a report that echoes a table computed at
+    /// `table_time`.
+    void note(daemon_id const& supporter, incarnation supporter_incarnation,
+              time_point table_time, time_point now);
+
+    /// Supporters that count now.
+    std::uint32_t count(time_point now) const;
+    /// Supporters with a promise, whether they count yet or not.
+    std::uint32_t bound(time_point now) const;
+
+private:
+    struct entry {
+        yuccabeam::incarnation incarnation = 0;
+        time_point first;
+        time_point until;
+    };
+
+    grant_options options_;
+    std::map<daemon_id, entry> entries_;
+};
+
+} // namespace yuccabeam::health
--- /dev/null
+++ b/src/yuccabeam/health/grant_store.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "yuccabeam/health/messages.hpp"
+#include "yuccabeam/health/options.hpp"
+#include "yuccabeam/health/service_health.hpp"
+#include "yuccabeam/health/topology.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace yuccabeam::health {
+
+/// Far enough in the past that no interval reaches it; boot clocks start at 0.
+inline constexpr time_point never{-std::chrono::hours(24 * 365)};
+
+/// What this daemon knows about one target from arbiters.
+struct granted_state {
+    grant last;                       ///< as received
+    std::uint32_t arbiter = 0;        ///< position in the list of arbiters
+    bool covers_self = false;         ///< the scope includes this daemon
+    time_point valid_until = never;   ///< of a grant, whatever its scope
+    bool accepted = false;            ///< the local floor check allowed it
+    time_point since{};               ///< of the ejection or suspicion
+    time_point spared_until = never;  ///< suspect by the arbiter's word
+    bool lost = false;                ///< spared with its whole failure domain
+    time_point returned_at = never;   ///< start of the slow start
+    time_point leaving_until = never; ///< by a peer's word
+    time_point leaving_since = never;
+};
+
+/// Reports that this daemon sent, to date the grants that answer them.
+struct sent_report {
+    std::uint64_t sequence = 0;
+    daemon_id arbiter;
+    time_point at{};
+    bool answered = false;
+};
+
+/// Receiver's side of the grant protocol: fencing, validity, floor check.
+class grant_store {
+public:
+    grant_store(observer_identity self, service_topology const& topology,
+                grant_options options, report_options reports);
+
+    /// Notes a report that is sent now.
+    void note_sent(std::uint64_t sequence, daemon_id const& arbiter,
+                   time_point now);
+    /// The sent report, while it is among the last ones.
+    sent_report const* sent(std::uint64_t sequence) const;
+    /// Newest table of an arbiter, zeros for none.
+    std::pair<incarnation, std::uint64_t>
+    newest(daemon_id const& arbiter) const;
+
+    /// Takes a table unless it is fenced off.
+    bool apply(ejection_table const& table, service_topology const& topology,
+               time_point now);
+    /// Accepts as many valid grants as `capacity` allows above the floor.
+    /// `counted` tells which targets are part of the capacity.
+    void check_floor(service_topology const& topology,
+                     std::vector<bool> const& counted, time_point now);
+
+    granted_state const& of(std::uint32_t target) const {
+        return states_[target];
+    }
+    bool holds_grants(time_point now) const;
+    daemon_id const& arbiter_name(std::uint32_t position) const {
+        return arbiters_[position].id;
+    }
+    /// Last accepted table, for explanations and the degraded flag.
+    ejection_table const& last_table() const { return last_table_; }
+    /// When the report that the last table answers was sent.
+    time_point last_answered() const { return last_answered_; }
+
+    void reconfigure(service_topology const& before,
+                     service_topology const& after);
+
+private:
+    struct fence {
+        daemon_id id;
+        yuccabeam::incarnation incarnation = 0;
+        std::uint64_t sequence = 0;
+    };
+
+    fence& fence_of(daemon_id const& id);
+    void take_grants(ejection_table const& table,
+                     service_topology const& topology, std::uint32_t position,
+                     time_point sent_at, time_point now);
+    void take_returning(ejection_table const& table,
+                        service_topology const& topology, time_point now);
+    bool covers(std::string const& scope) const {
+        return scope.empty() || scope == self_.failure_domain.value;
+    }
+
+    observer_identity self_;
+    grant_options options_;
+    report_options reports_;
+    std::vector<granted_state> states_;
+    std::vector<fence> arbiters_;
+    std::array<sent_report, 32> sent_;
+    ejection_table last_table_;
+    time_point last_answered_ = never;
+};
+
+} // namespace yuccabeam::health
--- /dev/null
+++ b/src/yuccabeam/health/local_detector.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "evidence_log.hpp"
+#include "yuccabeam/health/detector.hpp"
+#include "yuccabeam/health/options.hpp"
+#include "yuccabeam/health/status.hpp"
+#include "yuccabeam/health/topology.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace yuccabeam::health {
+
+/// Local suspicion of one target.
+struct suspicion {
+    double failures = 0; ///< CUSUM scores
+    double slowness = 0;
+    std::uint32_t strikes = 0; ///< suspicions in close succession
+    time_point since{};
+    time_point until{};
+    state_reason reason = state_reason::none;
+};
+
+/// Judges the targets from this daemon's own evidence alone.
+class local_detector {
+public:
+    local_detector(service_topology const& topology, detector_options detector,
+                   report_options reports);
+
+    /// Adds an outcome; constant time. `slow` as in `count`.
+    void add(observation const& seen, bool slow, time_point now);
+
+    bool is_slow(observation const& seen) const {
+        return seen.latency > slow_after(seen.target, seen.kind);
+    }
+    duration slow_after(std::uint32_t target, std::uint32_t kind) const {
+        return allowances_[target * kinds_ + kind];
+    }
+
+    /// Recomputes allowances and background rates from the log; once per
+    /// second.
+    void refresh(evidence_log const& log, std::vector<bool> const& cold,
+                 time_point now);
+
+    /// The arbiter's median of a kind, used while own samples are few.
+    void set_reference(std::uint32_t kind, duration median) {
+        references_[kind] = median;
+    }
+
+    /// Suspect by own evidence. While more than half of the targets are, the
+    /// service and not a target is at fault, and none counts as suspect.
+    bool is_suspect(std::uint32_t target, time_point now) const {
+        return suspicions_[target].until > now && majority_until_ <= now;
+    }
+    bool looks_bad(std::uint32_t target, time_point now) const {
+        return suspicions_[target].until > now;
+    }
+    bool majority_bad(time_point now) const { return majority_until_ > now; }
+    suspicion const& of(std::uint32_t target) const {
+        return suspicions_[target];
+    }
+    /// Forgets a target's scores, after its re-admission.
+    void clear(std::uint32_t target) { suspicions_[target] = {}; }
+    void copy(std::uint32_t target, suspicion const& value) {
+        suspicions_[target] = value;
+    }
+
+private:
+    void suspect(std::uint32_t target, state_reason reason, time_point now);
+    void find_majority(time_point now);
+
+    detector_options detector_;
+    report_options reports_;
+    std::size_t kinds_;
+    std::vector<suspicion> suspicions_;
+    std::vector<duration> allowances_;
+    std::vector<duration> references_;
+    std::vector<likelihood_steps> failure_steps_; ///< by kind
+    std::vector<likelihood_steps> slow_steps_;    ///< by kind
+    time_point majority_until_{};
+};
+
+} // namespace yuccabeam::health
--- /dev/null
+++ b/src/yuccabeam/health/support.cpp
@@ -0,0 +1,49 @@
+#include "yuccabeam/health/support.hpp"
+
+#include <algorithm>
+
+namespace yuccabeam::health {
+
+bool support_giver::promise(daemon_id const& arbiter, time_point now) {
+    if (now < free_at_ && arbiter != arbiter_)
+        return false;
+    arbiter_ = arbiter;
+    free_at_ = now + lease_;
+    return true;
+}
+
+void support_ledger::note(daemon_id const& supporter,
+                          incarnation supporter_incarnation,
+                          time_point table_time, time_point now) {
+    auto const until = table_time + options_.lease;
+    if (until <= now)
+        return;
+    auto const [found, added] = entries_.try_emplace(
+        supporter, entry{supporter_incarnation, now, until});
+    auto& entry = found->second;
+    if (added || entry.incarnation > supporter_incarnation)
+        return;
+    if (entry.incarnation < supporter_incarnation || entry.until < now) {
+        entry = {supporter_incarnation, now, until};
+        return;
+    }
+    entry.until = std::max(entry.until, until);
+}
+
+std::uint32_t support_ledger::count(time_point now) const {
+    auto const ripe = options_.grant_validity + options_.margin;
+    return static_cast<std::uint32_t>(
+        std::count_if(entries_.begin(), entries_.end(), [&](auto const& item) {
+            auto const& entry = item.second;
+            return now <= entry.until && now - entry.first >= ripe;
+        }));
+}
+
+std::uint32_t support_ledger::bound(time_point now) const {
+    return static_cast<std::uint32_t>(
+        std::count_if(entries_.begin(), entries_.end(), [&](auto const& item) {
+            return now <= item.second.until;
+        }));
+}
+
+} // namespace yuccabeam::health
