--- a/include/yuccabeam/adapters/http_server.hpp
+++ b/include/yuccabeam/adapters/http_server.hpp
@@ -73,6 +73,9 @@
     /// Binds and starts. Fails with `unreachable` when the address is taken.
     result<void> start();
 
+    /// Bound port; differs from the options' port when that is 0.
+    std::uint16_t port() const;
+
     /// Takes no new connections; running requests go on and their
     /// connections close afterwards.
     void stop_accepting();
--- a/src/yuccabeam/adapters/http_server.cpp
+++ b/src/yuccabeam/adapters/http_server.cpp
@@ -234,6 +234,7 @@
     std::shared_ptr<open_requests> requests = std::make_shared<open_requests>();
     std::atomic<std::uint64_t> next_request{1};
     std::atomic<bool> accepting{true};
+    std::uint16_t port = 0;
     asio::io_context context;
     std::unique_ptr<restinio_server> server;
     std::vector<std::thread> threads;
@@ -279,6 +280,10 @@
                     .handle_request_timeout(handle_request_limit)
                     .connection_state_listener(
                         std::make_shared<state_listener>(self_->requests))
+                    .acceptor_post_bind_hook(
+                        [self = self_.get()](auto& acceptor) {
+                            self->port = acceptor.local_endpoint().port();
+                        })
                     .socket_options_setter([](auto& socket) {
                         socket.set_option(asio::ip::tcp::no_delay(true));
                     })
@@ -305,6 +310,10 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+std::uint16_t http_server::port() const {
+    return self_->port;
+}
+
 void http_server::stop_accepting() {
     if (self_->server && self_->accepting.exchange(false))
         self_->server->close_async([]() noexcept {},
