--- /dev/null
+++ b/src/yuccabeam/health/judgement.cpp
@@ -0,0 +1,158 @@
+// The judging part of the arbiter: which target is bad, for whom, and when
+// the service and not the target is at fault.
+#include "arbiter_state.hpp"
+
+#include "grant_store.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccabeam::health {
+
+namespace {
+
+constexpr duration active_time = std::chrono::seconds(10);
+// Targets of a lost failure domain fail within about one timeout of each
+// other; ejections further apart have separate causes.
+constexpr duration lost_together = std::chrono::seconds(20);
+
+} // namespace
+
+std::uint32_t arbiter::implementation::observers_of(std::uint32_t target,
+                                                    std::string const& scope,
+                                                    time_point now) const {
+    std::uint32_t number = 0;
+    for (auto const& [id, observer] : observers_)
+        if ((scope.empty() || scope == observer.failure_domain) &&
+            target < observer.last_evidence.size() &&
+            now - observer.last_evidence[target] < active_time)
+            ++number;
+    return number;
+}
+
+scoreboard const*
+arbiter::implementation::scope_board(std::string const& scope) const {
+    if (scope.empty())
+        return &all_;
+    auto const found = by_domain_.find(scope);
+    return found == by_domain_.end() ? nullptr : &found->second;
+}
+
+bool arbiter::implementation::judge(std::uint32_t target, time_point now) {
+    if (is_leaving(target, now))
+        return false;
+    auto const& record = book_.of(target);
+    if (record.is_out() && record.scope.empty())
+        return false;
+    // A fault that only one failure domain sees crosses in that domain's
+    // test first, because the other domains' good requests dilute the total.
+    for (auto& [domain, board] : by_domain_)
+        if (!is_covered(target, domain) && judge_on(target, board, domain, now))
+            return true;
+    return judge_on(target, all_, {}, now);
+}
+
+bool arbiter::implementation::judge_on(std::uint32_t target, scoreboard& board,
+                                       std::string const& scope,
+                                       time_point now) {
+    auto const id = board.crossed(target, observers_of(target, scope, now));
+    if (!id)
+        return false;
+    auto const resolved = scope_of(target, *id, scope, now);
+    if (too_many_bad(resolved, *id, now)) {
+        board.defer(target, *id);
+        ++counters_.spared;
+        return false;
+    }
+    auto const evidence = evidence_of(board.test(target, *id), *id);
+    auto const& domain = topology_.targets[target].failure_domain;
+    auto const lost = resolved.empty() && is_domain_lost(domain, now);
+    book_.open(target, resolved, evidence, now);
+    clear_scores(target);
+    ++counters_.ejections;
+    if (!lost)
+        return true;
+    for (std::uint32_t i = 0; i < topology_.targets.size(); ++i)
+        if (topology_.targets[i].failure_domain == domain)
+            book_.mark_lost(i);
+    return true;
+}
+
+std::string arbiter::implementation::scope_of(std::uint32_t target, test_id id,
+                                              std::string const& crossed,
+                                              time_point now) const {
+    std::size_t active = 0;
+    std::vector<std::string> bad;
+    for (auto const& [domain, board] : by_domain_) {
+        if (observers_of(target, domain, now) == 0)
+            continue;
+        ++active;
+        if (domain == crossed || board.looks_bad(target, id))
+            bad.push_back(domain);
+    }
+    return active > 1 && bad.size() == 1 ? bad.front() : std::string();
+}
+
+bool arbiter::implementation::too_many_bad(std::string const& scope, test_id id,
+                                           time_point now) const {
+    auto const* board = scope_board(scope);
+    std::size_t present = 0;
+    std::size_t bad = 0;
+    for (std::uint32_t i = 0; i < topology_.targets.size(); ++i) {
+        if (is_leaving(i, now))
+            continue;
+        ++present;
+        if ((board && board->looks_bad(i, id)) || is_covered(i, scope))
+            ++bad;
+    }
+    return bad * 2 > present;
+}
+
+bool arbiter::implementation::service_degraded(time_point now) const {
+    std::size_t present = 0;
+    std::size_t bad = 0;
+    for (std::uint32_t i = 0; i < topology_.targets.size(); ++i) {
+        if (is_leaving(i, now))
+            continue;
+        ++present;
+        if (all_.looks_bad(i) || is_covered(i, {}))
+            ++bad;
+    }
+    return bad * 2 > present;
+}
+
+bool arbiter::implementation::is_domain_lost(failure_domain_id const& id,
+                                             time_point now) const {
+    std::size_t members = 0;
+    for (std::uint32_t i = 0; i < topology_.targets.size(); ++i) {
+        if (topology_.targets[i].failure_domain != id || is_leaving(i, now))
+            continue;
+        ++members;
+        auto const& record = book_.of(i);
+        auto const out = record.is_out() && record.scope.empty() &&
+                         (now - record.since < lost_together ||
+                          record.spared == "domain-lost");
+        if (!out && !all_.looks_bad(i))
+            return false;
+    }
+    return members >= 2 && members < topology_.targets.size();
+}
+
+verdict_evidence arbiter::implementation::evidence_of(cusum const& test,
+                                                      test_id id) const {
+    return {id.slowness ? "slowness" : "failures",
+            id.kind ? topology_.kinds[*id.kind].value : std::string(),
+            test.requests,
+            test.bad,
+            distinct_callers(test.callers),
+            static_cast<std::uint32_t>(std::lround(test.score * 1000)),
+            static_cast<std::uint32_t>(std::lround(all_.threshold() * 1000))};
+}
+
+void arbiter::implementation::clear_scores(std::uint32_t target) {
+    all_.clear(target);
+    for (auto& [domain, board] : by_domain_)
+        board.clear(target);
+}
+
+} // namespace yuccabeam::health
--- /dev/null
+++ b/src/yuccabeam/health/scoreboard.cpp
@@ -0,0 +1,164 @@
+#include "scoreboard.hpp"
+
+#include "evidence_log.hpp"
+
+#include <algorithm>
+
+namespace yuccabeam::health {
+
+namespace {
+
+constexpr std::uint64_t recent_seconds = 2;
+// A score without evidence for this long says nothing about the present.
+constexpr duration idle_limit = std::chrono::seconds(60);
+
+template <class Tests>
+auto& pick(Tests& tests, test_id id) {
+    if (id.kind)
+        return id.slowness ? tests.slowness_by_kind[*id.kind]
+                           : tests.failures_by_kind[*id.kind];
+    return id.slowness ? tests.slowness : tests.failures;
+}
+
+} // namespace
+
+void tally::add(tally const& other) {
+    requests += other.requests;
+    failures += other.failures;
+    slow += other.slow;
+}
+
+void tally::subtract(tally const& other) {
+    requests -= other.requests;
+    failures -= other.failures;
+    slow -= other.slow;
+}
+
+void rate_ring::advance(std::uint64_t second) {
+    if (second <= head_)
+        return;
+    auto const steps = std::min<std::uint64_t>(second - head_, seconds_.size());
+    for (std::uint64_t i = 0; i < steps; ++i) {
+        auto& expired = seconds_[(second - i) % seconds_.size()];
+        sum_.subtract(expired);
+        expired = {};
+    }
+    head_ = second;
+}
+
+void rate_ring::add(tally const& value, std::uint64_t second) {
+    advance(second);
+    seconds_[head_ % seconds_.size()].add(value);
+    sum_.add(value);
+}
+
+void rate_ring::remove(rate_ring part) {
+    advance(part.head_);
+    part.advance(head_);
+    for (std::size_t i = 0; i < seconds_.size(); ++i)
+        seconds_[i].subtract(part.seconds_[i]);
+    sum_.subtract(part.sum_);
+}
+
+tally rate_ring::recent() const {
+    tally result;
+    for (std::uint64_t i = 0; i < recent_seconds && i <= head_; ++i)
+        result.add(seconds_[(head_ - i) % seconds_.size()]);
+    return result;
+}
+
+scoreboard::scoreboard(std::size_t targets, std::size_t kinds,
+                       detector_options options)
+    : options_(options), threshold_(threshold_of(options)),
+      targets_(targets, target_tests(kinds)), totals_(kinds) {}
+
+double scoreboard::others_rate(std::uint32_t target, std::uint32_t kind,
+                               bool slowness) const {
+    auto const rate = [&](tally all, tally const& own) {
+        all.subtract(own);
+        return shrunk_rate(slowness ? all.slow : all.failures, all.requests,
+                           options_.p0);
+    };
+    auto const& own = targets_[target].rates[kind];
+    // The short sum follows a fault of the whole service sooner.
+    return std::max(rate(totals_[kind].sum(), own.sum()),
+                    rate(totals_[kind].recent(), own.recent()));
+}
+
+void scoreboard::add(evidence_delta const& delta, std::uint32_t observer,
+                     time_point now) {
+    auto const second = window_of(now);
+    auto& tests = targets_[delta.target];
+    auto const& counts = delta.counts;
+    tally const value{counts.requests(), counts.failures(), counts.slow};
+    totals_[delta.kind].add(value, second);
+    tests.rates[delta.kind].add(value, second);
+
+    evidence_batch const failures{
+        observer, counts.ok + counts.slow, counts.failures(),
+        counts.refused + counts.reset, counts.failing_callers};
+    evidence_batch const slowness{observer, counts.ok, counts.slow, 0,
+                                  counts.slow_callers};
+    auto const failure_steps =
+        steps_for(options_, others_rate(delta.target, delta.kind, false));
+    auto const slow_steps =
+        steps_for(options_, others_rate(delta.target, delta.kind, true));
+    auto const put = [&](cusum& test, evidence_batch const& batch,
+                         likelihood_steps steps) {
+        if (now - test.last > idle_limit)
+            test.score = 0;
+        health::add(test, batch, steps, threshold_, now);
+    };
+    put(tests.failures, failures, failure_steps);
+    put(tests.slowness, slowness, slow_steps);
+    put(tests.failures_by_kind[delta.kind], failures, failure_steps);
+    put(tests.slowness_by_kind[delta.kind], slowness, slow_steps);
+}
+
+cusum const& scoreboard::test(std::uint32_t target, test_id id) const {
+    return pick(targets_[target], id);
+}
+
+bool scoreboard::looks_bad(std::uint32_t target, test_id id) const {
+    return test(target, id).score >= options_.looks_bad * threshold_;
+}
+
+bool scoreboard::looks_bad(std::uint32_t target) const {
+    return looks_bad(target, {false, std::nullopt}) ||
+           looks_bad(target, {true, std::nullopt});
+}
+
+bool scoreboard::is_bad(cusum const& test, bool slowness,
+                        std::uint32_t observers) const {
+    return test.score >= threshold_ && is_spread(test, options_, observers) &&
+           (!slowness || test.last - test.first_bad >= options_.slow_span);
+}
+
+std::optional<test_id> scoreboard::crossed(std::uint32_t target,
+                                           std::uint32_t observers) const {
+    for (auto const slowness : {false, true}) {
+        test_id const any{slowness, std::nullopt};
+        if (is_bad(test(target, any), slowness, observers))
+            return any;
+        for (std::uint32_t kind = 0; kind < totals_.size(); ++kind) {
+            test_id const one{slowness, kind};
+            if (is_bad(test(target, one), slowness, observers))
+                return one;
+        }
+    }
+    return std::nullopt;
+}
+
+void scoreboard::clear(std::uint32_t target) {
+    // Left in the totals, its failures would raise p0 for the others and
+    // delay the detection of a second bad target.
+    for (std::size_t kind = 0; kind < totals_.size(); ++kind)
+        totals_[kind].remove(targets_[target].rates[kind]);
+    targets_[target] = target_tests(totals_.size());
+}
+
+void scoreboard::defer(std::uint32_t target, test_id id) {
+    pick(targets_[target], id).score /= 2;
+}
+
+} // namespace yuccabeam::health
--- /dev/null
+++ b/src/yuccabeam/health/scoreboard.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "evidence_merge.hpp"
+#include "yuccabeam/health/detector.hpp"
+#include "yuccabeam/health/options.hpp"
+#include "yuccabeam/health/topology.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace yuccabeam::health {
+
+/// Requests and bad requests of one second.
+struct tally {
+    std::uint32_t requests = 0;
+    std::uint32_t failures = 0;
+    std::uint32_t slow = 0;
+
+    void add(tally const& other);
+    void subtract(tally const& other);
+};
+
+/// Sums over the last 10 s and the last 2 s.
+class rate_ring {
+public:
+    void add(tally const& value, std::uint64_t second);
+    void advance(std::uint64_t second);
+    /// Takes out what `part` contributed.
+    void remove(rate_ring part);
+    tally const& sum() const { return sum_; }
+    tally recent() const;
+
+private:
+    std::array<tally, 10> seconds_{};
+    tally sum_;
+    std::uint64_t head_ = 0;
+};
+
+/// The tests of one target for the observers of one scope.
+struct target_tests {
+    cusum failures; ///< over all kinds
+    cusum slowness; ///< over all kinds
+    std::vector<cusum> failures_by_kind;
+    std::vector<cusum> slowness_by_kind;
+    std::vector<rate_ring> rates; ///< by kind
+
+    explicit target_tests(std::size_t kinds)
+        : failures_by_kind(kinds), slowness_by_kind(kinds), rates(kinds) {}
+};
+
+/// Which of a target's tests.
+struct test_id {
+    bool slowness = false;
+    /// Kind, or nothing for the test over all kinds.
+    std::optional<std::uint32_t> kind;
+
+    bool operator==(test_id const&) const = default;
+};
+
+/// The tests of all targets for the observers of one scope.
+class scoreboard {
+public:
+    scoreboard(std::size_t targets, std::size_t kinds,
+               detector_options options);
+
+    void add(evidence_delta const& delta, std::uint32_t observer,
+             time_point now);
+
+    cusum const& test(std::uint32_t target, test_id id) const;
+    bool looks_bad(std::uint32_t target, test_id id) const;
+    /// Looks bad in a test over all kinds.
+    bool looks_bad(std::uint32_t target) const;
+    /// The test that crossed the threshold with enough spread, worst first.
+    std::optional<test_id> crossed(std::uint32_t target,
+                                   std::uint32_t observers) const;
+    double threshold() const { return threshold_; }
+
+    /// Forgets a target's scores.
+    void clear(std::uint32_t target);
+    /// Halves a test's score: fresh evidence is needed to cross again.
+    void defer(std::uint32_t target, test_id id);
+
+private:
+    double others_rate(std::uint32_t target, std::uint32_t kind,
+                       bool slowness) const;
+    bool is_bad(cusum const& test, bool slowness,
+                std::uint32_t observers) const;
+
+    detector_options options_;
+    double threshold_;
+    std::vector<target_tests> targets_;
+    std::vector<rate_ring> totals_; ///< by kind
+};
+
+} // namespace yuccabeam::health
--- a/src/yuccabeam/health/service_health.cpp
+++ b/src/yuccabeam/health/service_health.cpp
@@ -65,7 +65,7 @@
 bool service_health::implementation::is_cold(std::uint32_t target,
                                              time_point now) const {
     auto const start = slow_start_of(target);
-    return start != time_point{} && now - start < options_.detector.cold_time;
+    return now - start < options_.detector.cold_time;
 }
 
 target_status service_health::implementation::status(std::uint32_t target,
@@ -264,8 +264,7 @@
     std::vector<bool> counted(topology_.targets.size());
     for (std::uint32_t i = 0; i < counted.size(); ++i) {
         auto const start = slow_start_of(i);
-        auto const warm =
-            start == time_point{} || now - start >= options_.grants.slow_start;
+        auto const warm = now - start >= options_.grants.slow_start;
         auto const& granted = grants_.of(i);
         counted[i] = warm && !is_leaving(i, now) &&
                      !(granted.lost && granted.spared_until > now);
