--- a/src/yuccabeam/daemon/proxy_test.cpp
+++ b/src/yuccabeam/daemon/proxy_test.cpp
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <future>
-#include <regex>
+#include <nlohmann/json.hpp>
 
 namespace yuccabeam::daemon {
 namespace {
@@ -14,8 +14,9 @@
 // One daemon's request path in front of scripted targets.
 class fixture {
 public:
-    explicit fixture(std::vector<std::string> const& addresses)
-        : proxy_(test_options(), metrics_),
+    explicit fixture(std::vector<std::string> const& addresses,
+                     std::string const& name = "d1", proxy_options options = {})
+        : proxy_(test_options(name, std::move(options)), metrics_),
           server_({.address = "127.0.0.1:0", .max_body_bytes = 1024},
                   [this](auto request, auto responder) {
                       proxy_.handle(std::move(request), std::move(responder));
@@ -33,6 +34,25 @@
         REQUIRE(server_.start());
     }
 
+    // Takes requests from other daemons, as the peer port does.
+    std::string serve_peers() {
+        peers_ = std::make_unique<adapters::http_server>(
+            adapters::http_server_options{.address = "127.0.0.1:0"},
+            [this](auto request, auto responder) {
+                proxy_.handle_relayed(std::move(request), std::move(responder));
+            });
+        REQUIRE(peers_->start());
+        return "127.0.0.1:" + std::to_string(peers_->port());
+    }
+
+    std::string ticket() {
+        auto const answer =
+            ask("POST /.yuccabeam/tickets HTTP/1.1\r\nHost: h\r\n"
+                "Connection: close\r\nContent-Length: 0\r\n\r\n");
+        auto const body = answer.substr(answer.find("\r\n\r\n") + 4);
+        return nlohmann::json::parse(body).at("ticket");
+    }
+
     tcp::socket connect() {
         tcp::socket socket(context_);
         socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
@@ -50,11 +70,12 @@
     }
 
 private:
-    static proxy_options test_options() {
-        proxy_options out;
-        out.self = {{"d1"}, 1, {"a"}};
+    static proxy_options test_options(std::string const& name,
+                                      proxy_options out) {
+        out.self = {{name}, 1, {"a"}};
         out.shared_key = "0123456789abcdef";
-        out.find_daemon = [](auto const&) { return std::nullopt; };
+        if (!out.find_daemon)
+            out.find_daemon = [](auto const&) { return std::nullopt; };
         return out;
     }
 
@@ -62,6 +83,7 @@
     adapters::metrics metrics_;
     proxy proxy_;
     adapters::http_server server_;
+    std::unique_ptr<adapters::http_server> peers_;
 };
 
 std::string get(std::string const& path, std::string const& fields = "") {
@@ -69,9 +91,9 @@
            fields + "\r\n";
 }
 
-std::string post(std::string const& path) {
-    return "POST " + path +
-           " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+std::string post(std::string const& path, std::string const& key = "") {
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" +
+           (key.empty() ? "" : "Idempotency-Key: " + key + "\r\n") +
            "Content-Length: 2\r\n\r\nhi";
 }
 
@@ -343,5 +365,72 @@
     CHECK(first < second);
 }
 
+// Guards against a second run of a ticket, and against a ticket that is lost
+// although its request did not run.
+TEST_CASE("a ticket runs at most once") {
+    struct row {
+        char const* name;
+        char const* first_reply; // of the target
+        char const* first;       // outcome of the first use
+        char const* second;      // outcome of the second use
+        int runs;                // requests at the target after both
+    };
+    row const rows[] = {
+        {"answered", "HTTP/1.1 201 Done\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 201", "\"previous_status\":201", 1},
+        {"unknown", "", "Yuccabeam-Outcome: unknown",
+         "Yuccabeam-Outcome: unknown", 1},
+        {"not run",
+         "HTTP/1.1 503 Busy\r\nYuccabeam-Not-Run: 1\r\n"
+         "Content-Length: 0\r\n\r\n",
+         "Yuccabeam-Outcome: not-run", "HTTP/1.1 200", 2},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.name);
+        std::atomic<int> count{0};
+        scripted_target target([&](tcp::socket& socket, std::string const&) {
+            send_text(socket, count++ == 0 ? row.first_reply : ok("x"));
+            return false;
+        });
+        fixture daemon({target.address()});
+        auto const ticket = daemon.ticket();
+        CHECK(has(daemon.ask(post("/", ticket)), row.first));
+        CHECK(has(daemon.ask(post("/", ticket)), row.second));
+        CHECK(target.requests() == row.runs);
+    }
+}
+
+// Guards against a ticket that runs again through another daemon, or after
+// its owner's death.
+TEST_CASE("a ticket belongs to one incarnation of one daemon") {
+    scripted_target target([&](tcp::socket& socket, std::string const&) {
+        send_text(socket, ok("x"));
+        return true;
+    });
+    fixture owner({target.address()}, "owner");
+    std::optional<ticket_owner> known = ticket_owner{1, owner.serve_peers()};
+    proxy_options options;
+    options.find_daemon = [&](auto const&) { return known; };
+    fixture other({target.address()}, "other", options);
+
+    auto const used = owner.ticket();
+    CHECK(status_of(other.ask(post("/", used))) == 200);
+    CHECK(has(other.ask(post("/", used)), "already-ran"));
+    CHECK(has(owner.ask(post("/", used)), "already-ran"));
+    CHECK(target.requests() == 1);
+
+    auto const fresh = owner.ticket();
+    known->incarnation = 2;
+    CHECK(has(other.ask(post("/", fresh)), "Yuccabeam-Outcome: unknown"));
+    known.reset();
+    CHECK(has(other.ask(post("/", fresh)), "Yuccabeam-Outcome: unknown"));
+    known = ticket_owner{1, free_address()};
+    CHECK(has(other.ask(post("/", fresh)), "Yuccabeam-Outcome: unknown"));
+    auto forged = fresh;
+    forged.back() = forged.back() == '0' ? '1' : '0';
+    CHECK(has(owner.ask(post("/", forged)), "Yuccabeam-Outcome: not-run"));
+    CHECK(target.requests() == 1);
+}
+
 } // namespace
 } // namespace yuccabeam::daemon
--- a/src/yuccabeam/daemon/settings_test.cpp
+++ b/src/yuccabeam/daemon/settings_test.cpp
@@ -30,24 +30,15 @@
         nlohmann::json value; // null: removed
     };
     row const rows[] = {
-        {"/deployment", nullptr},
-        {"/daemon", 7},
-        {"/failure_domain", ""},
-        {"/listen", "localhost:80"},
-        {"/metrics", "127.0.0.1"},
-        {"/peer", "127.0.0.1:0"},
-        {"/peer_http", nullptr},
-        {"/operator_rpc", "127.0.0.1:99999"},
-        {"/store", true},
-        {"/vm_list", "[::1]"},
-        {"/shared_key", "short"},
-        {"/threads", 0},
-        {"/max_body_bytes", 1},
-        {"/drain_notice_ms", -1},
-        {"/drain_limit_ms", "1 h"},
-        {"/log_level", "verbose"},
-        {"/log_file", 3},
-        {"/unknown", 1},
+        {"/deployment", nullptr},   {"/daemon", 7},
+        {"/failure_domain", ""},    {"/listen", "localhost:80"},
+        {"/metrics", "127.0.0.1"},  {"/peer", "127.0.0.1:0"},
+        {"/peer_http", nullptr},    {"/operator_rpc", "127.0.0.1:99999"},
+        {"/store", true},           {"/vm_list", "[::1]"},
+        {"/shared_key", "short"},   {"/threads", 0},
+        {"/max_body_bytes", 1},     {"/drain_notice_ms", -1},
+        {"/drain_limit_ms", "1 h"}, {"/log_level", "verbose"},
+        {"/log_file", 3},           {"/unknown", 1},
     };
     nlohmann::json all_wrong = valid_settings();
     for (auto const& row : rows) {
