--- a/include/yuccabeam/limits/admission_queue.hpp
+++ b/include/yuccabeam/limits/admission_queue.hpp
@@ -39,7 +39,8 @@
     bool operator==(dispatch_entry const&) const = default;
 };
 
-/// Answer this entry as not-run; it has left the queue.
+/// This entry has left the queue and was not run from it. Answer not-run,
+/// unless an earlier attempt of the same request may have run.
 struct drop_entry {
     entry_id id = 0;
     drop_reason reason = drop_reason::queue_full;
--- a/src/yuccabeam/bench/subset_bench.cpp
+++ b/src/yuccabeam/bench/subset_bench.cpp
@@ -161,6 +161,9 @@
     auto& members = without_daemon.begin()->second;
     auto const lost_daemon = members.front();
     members.erase(members.begin());
+    auto with_daemon = daemons;
+    daemon_id const new_daemon{"daemon-new"};
+    with_daemon.begin()->second.push_back(new_daemon);
     auto without_target = services;
     auto const lost_target = without_target.front().targets.front().id;
     auto& targets = without_target.front().targets;
@@ -177,6 +180,8 @@
         {"daemons_per_target", spread(values_of(per_target))},
         {"daemon_lost", churn(base, place(without_daemon, services, options),
                               lost_daemon, {})},
+        {"daemon_added",
+         churn(base, place(with_daemon, services, options), new_daemon, {})},
         {"target_lost",
          churn(base, place(daemons, without_target, options), {}, lost_target)},
         {"all_home_daemons_ms", home_time.count()}};
@@ -188,8 +193,8 @@
     subset_options options;
     if (argc > 1)
         options.targets_per_daemon = std::strtoul(argv[1], nullptr, 10);
-    std::vector<fleet_size> const sizes = {{36, 28, 3, 3},
-                                           {3000, 36000, 1300, 11}};
+    std::vector<fleet_size> const sizes = {
+        {36, 28, 3, 3}, {64, 640, 24, 4}, {3000, 36000, 1300, 11}};
     for (auto const& size : sizes)
         std::cout << measure(size, options).dump() << "\n";
 }
--- a/src/yuccabeam/limits/admission_queue_test.cpp
+++ b/src/yuccabeam/limits/admission_queue_test.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 using enum priority;
 
-constexpr time_point start{};
+constexpr time_point start{1h};
 
 queue_entry entry(entry_id id, std::string account, priority level = normal,
                   std::uint32_t weight = 1) {
--- a/src/yuccabeam/retry/decide_test.cpp
+++ b/src/yuccabeam/retry/decide_test.cpp
@@ -16,56 +16,44 @@
     return {idempotent, failure, false, 1, 1s, 10ms, true, false, true, false};
 }
 
-template <class Change>
-failed_attempt changed(failed_attempt value, Change change) {
-    change(value);
-    return value;
-}
-
 // Guards against a repeated order and against a missing retry of a read.
 TEST_CASE("retry decision") {
     struct row {
         char const* name;
-        failed_attempt attempt;
+        bool idempotent;
+        failure_kind failure;
         retry_decision expected;
+        void (*change)(failed_attempt&) = [](failed_attempt&) {};
     };
-    auto const read = attempt(true, other);
-    auto const order = attempt(false, connect_refused);
     row const rows[] = {
-        {"idempotent", read, retry_elsewhere},
-        {"order, no byte sent", order, retry_elsewhere},
-        {"order, declared not run", attempt(false, declared_not_run),
-         retry_elsewhere},
-        {"order, anything else", attempt(false, other), answer_unknown},
-        {"order, refused after an unknown attempt",
-         changed(order, [](auto& a) { a.earlier_may_have_run = true; }),
-         answer_unknown},
-        {"order, no budget",
-         changed(order, [](auto& a) { a.budget_available = false; }),
-         answer_not_run},
-        {"read, no budget",
-         changed(read, [](auto& a) { a.budget_available = false; }),
-         answer_unknown},
-        {"overload", changed(order, [](auto& a) { a.overloaded = true; }),
-         answer_not_run},
-        {"no other target",
-         changed(order, [](auto& a) { a.other_target_available = false; }),
-         answer_not_run},
-        {"too little time",
-         changed(order, [](auto& a) { a.deadline_left = 9ms; }),
-         answer_not_run},
-        {"no time, service time unknown",
-         changed(read, [](auto& a) { a.deadline_left = a.service_time = 0s; }),
-         answer_unknown},
-        {"third attempt", changed(order, [](auto& a) { a.attempts = 3; }),
-         answer_not_run},
-        {"read, response under way",
-         changed(read, [](auto& a) { a.response_started = true; }),
-         answer_unknown},
+        {"read", true, other, retry_elsewhere},
+        {"order, no byte sent", false, connect_refused, retry_elsewhere},
+        {"order, declared not run", false, declared_not_run, retry_elsewhere},
+        {"order, anything else", false, other, answer_unknown},
+        {"order, refused after an unknown attempt", false, connect_refused,
+         answer_unknown, [](auto& a) { a.earlier_may_have_run = true; }},
+        {"order, no budget", false, connect_refused, answer_not_run,
+         [](auto& a) { a.budget_available = false; }},
+        {"read, no budget", true, other, answer_unknown,
+         [](auto& a) { a.budget_available = false; }},
+        {"overload", false, connect_refused, answer_not_run,
+         [](auto& a) { a.overloaded = true; }},
+        {"no other target", false, connect_refused, answer_not_run,
+         [](auto& a) { a.other_target_available = false; }},
+        {"too little time", false, connect_refused, answer_not_run,
+         [](auto& a) { a.deadline_left = 9ms; }},
+        {"no time, service time unknown", true, other, answer_unknown,
+         [](auto& a) { a.deadline_left = a.service_time = 0s; }},
+        {"third attempt", false, connect_refused, answer_not_run,
+         [](auto& a) { a.attempts = 3; }},
+        {"read, response under way", true, other, answer_unknown,
+         [](auto& a) { a.response_started = true; }},
     };
     for (auto const& row : rows) {
         CAPTURE(row.name);
-        CHECK(decide_retry(row.attempt) == row.expected);
+        auto state = attempt(row.idempotent, row.failure);
+        row.change(state);
+        CHECK(decide_retry(state) == row.expected);
     }
 }
 
--- a/src/yuccabeam/routing/rendezvous_test.cpp
+++ b/src/yuccabeam/routing/rendezvous_test.cpp
@@ -92,5 +92,22 @@
     CHECK(target_subset({"x"}, {"s"}, {}, {}).empty());
 }
 
+// Guards against daemons without a target near by while others have it.
+TEST_CASE("home daemons of a target's failure domain come first") {
+    auto const homes = home_daemons({"s"}, fleet(4, 20));
+    std::vector<placed_target> targets(40);
+    for (std::size_t i = 0; i < targets.size(); ++i)
+        targets[i] = {{std::to_string(i)}, {std::to_string(i % 4)}};
+    subset_options options;
+    options.targets_per_daemon = 10;
+    for (auto const& home : homes) {
+        auto const subset =
+            target_subset(home.id, {"s"}, homes, targets, options);
+        for (auto const& target : targets)
+            if (target.failure_domain == home.failure_domain)
+                CHECK(std::ranges::count(subset, target.id) == 1);
+    }
+}
+
 } // namespace
 } // namespace yuccabeam::routing
