--- a/src/yuccabeam/standins/target_session.cpp
+++ b/src/yuccabeam/standins/target_session.cpp
@@ -111,7 +111,7 @@
             "HTTP/1.1 100 Continue\r\n\r\n";
         continued_ = true;
         std::error_code ignored;
-        asio::write(socket_, asio::buffer(text), ignored);
+        asio::write(socket_, asio::buffer(text.data(), text.size()), ignored);
     }
 
     void refuse_request(int status, std::string text) {
