--- /dev/null
+++ b/include/yuccabeam/ctl/commands.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "yuccabeam/config/edit.hpp"
+#include "yuccabeam/config/publish.hpp"
+#include "yuccabeam/ctl/outcome.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yuccabeam::ctl {
+
+/// Items that a register or rules file asks for, and the kinds of item that
+/// it speaks for: items of these kinds that it doesn't name are removed.
+struct wanted_items {
+    config::item_map items;
+    bool has_register = false;
+    bool has_rules = false;
+};
+
+/// Reads a register or rules file; the fields tell which one it is.
+std::optional<wanted_items> parse_items(std::string_view text,
+                                        std::vector<json_fault>& faults);
+
+/// The whole configuration after the files are taken over.
+config::item_map merged(config::item_map const& current,
+                        wanted_items const& wanted);
+
+/// Sentences on the outcome of publishing an edit.
+outcome describe(config::publish_outcome const& published,
+                 std::string const& edit_id);
+
+/// One line for each operation: added, changed, removed.
+std::string describe(std::vector<config::operation> const& operations);
+
+} // namespace yuccabeam::ctl
--- a/include/yuccabeam/daemon/queries.hpp
+++ b/include/yuccabeam/daemon/queries.hpp
@@ -20,13 +20,13 @@
     std::function<config::readiness()> readiness;
 };
 
-/// Answers a query of `yuccabeamctl`: `status`, `explain_service`,
-/// `explain_target`, `explain_config` or `explain_request`.
+/// Answers a query of `yuccabeamctl`: `status`, `explain_config`, or with the
+/// id of one thing `explain_service`, `explain_target`, `explain_request`.
 ///
 /// The answer has the fields `text`, sentences for a person, and `data`, the
 /// same facts for a program. An unknown method or name gives `error`.
 nlohmann::json answer_query(query_sources const& sources,
                             std::string const& method,
-                            nlohmann::json const& parameters);
+                            std::string const& id);
 
 } // namespace yuccabeam::daemon
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -76,3 +76,27 @@
 is_ready() {
     curl -sf "http://127.0.0.1:$(daemon_port "$1" 0)/.yuccabeam/ready"
 }
+
+start_store() {
+    start store "$FLEET_BIN/standin_store" \
+        --address "127.0.0.1:$FLEET_STORE_PORT"
+    wait_for 20 curl -sf "http://127.0.0.1:$FLEET_STORE_PORT/v1/stats"
+}
+
+# set_vms JSON_ARRAY
+set_vms() {
+    curl -sf -X PUT -d "$1" \
+        "http://127.0.0.1:$FLEET_STORE_PORT/v1/vms" >/dev/null
+}
+
+# write_ctl_settings DAEMON_INDEX...
+write_ctl_settings() {
+    local index list=""
+    for index in "$@"; do
+        list="$list${list:+,}{\"operator_rpc\":\"127.0.0.1:$(daemon_port "$index" 4)\"}"
+    done
+    cat >"$FLEET_DIR/ctl.json" <<JSON
+{"author": "$(id -un)", "store": "127.0.0.1:$FLEET_STORE_PORT",
+ "daemons": [$list]}
+JSON
+}
--- a/src/yuccabeam/daemon/sentences.cpp
+++ b/src/yuccabeam/daemon/sentences.cpp
@@ -108,9 +108,9 @@
         out << "More than half of the service's targets look bad together, so "
                "none is taken out for that.\n";
     if (why.home_daemons > 0)
-        out << "Slots that may be out: " << why.budget_slots << ", are out: "
-            << why.ejected_slots << "; " << why.supporters << " of "
-            << why.home_daemons << " daemons follow the arbiter.\n";
+        out << "Slots that may be out: " << why.budget_slots
+            << ", are out: " << why.ejected_slots << "; " << why.supporters
+            << " of " << why.home_daemons << " daemons follow the arbiter.\n";
     return out.str();
 }
 
