--- /dev/null
+++ b/include/yuccabeam/codec/message.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "yuccabeam/membership/messages.hpp"
+#include "yuccabeam/values/fault.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace yuccabeam::codec {
+
+using bytes = std::vector<std::uint8_t>;
+using bytes_view = std::span<std::uint8_t const>;
+
+/// Any message between daemons over UDP.
+using message = std::variant<membership::ping, membership::ping_req,
+                             membership::ack, membership::config_announce>;
+
+/// MessagePack array of the message's kind and its fields.
+bytes encode(message const& value);
+
+enum class message_fault {
+    malformed,    ///< not MessagePack, or a field of another type
+    unknown_kind, ///< a kind of message that this version doesn't know
+    out_of_range  ///< a field outside its limits
+};
+
+/// Decodes what `encode` wrote. Extra fields at the end of a message, which
+/// a later version may add, are ignored; trailing bytes are malformed.
+using decoded = std::variant<message, message_fault>;
+decoded decode(bytes_view data);
+
+} // namespace yuccabeam::codec
--- /dev/null
+++ b/include/yuccabeam/membership/membership.hpp
@@ -0,0 +1,256 @@
+#pragma once
+
+#include "yuccabeam/membership/messages.hpp"
+#include "yuccabeam/membership/options.hpp"
+#include "yuccabeam/membership/update_queue.hpp"
+#include "yuccabeam/values/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace yuccabeam::membership {
+
+using random_engine = std::mt19937_64;
+using probe_message = std::variant<ping, ping_req, ack>;
+
+/// Sender of a received message: authenticated id and source address.
+struct peer {
+    daemon_id id;
+    std::string address;
+
+    auto operator<=>(peer const&) const = default;
+};
+
+/// Entry of the VM list.
+struct vm_hint {
+    daemon_id id;
+    std::string udp_address;
+    bool leaving = false;
+
+    auto operator<=>(vm_hint const&) const = default;
+};
+
+struct outgoing {
+    peer to;
+    probe_message message;
+
+    bool operator==(outgoing const&) const = default;
+};
+
+enum class event_kind {
+    joined,    ///< first sight, or back after death or with a new incarnation
+    changed,   ///< new addresses or readiness
+    suspected, ///< still counts as live
+    recovered, ///< a suspicion was refuted
+    died,
+    left,
+    forgotten ///< a dead member's record is gone
+};
+
+struct member_event {
+    event_kind kind;
+    yuccabeam::membership::member member;
+
+    bool operator==(member_event const&) const = default;
+};
+
+/// Digest that a peer's message carried; input of `config_spread`.
+struct digest_heard {
+    daemon_id from;
+    std::string http_address;
+    config_digest config;
+
+    bool operator==(digest_heard const&) const = default;
+};
+
+/// What the calling code does after a step.
+struct actions {
+    std::vector<outgoing> messages;
+    std::vector<member_event> events;
+    std::vector<digest_heard> digests;
+    std::vector<target_id> leaving_targets;
+};
+
+struct counters {
+    std::uint64_t probes = 0;
+    std::uint64_t probe_failures = 0;
+    std::uint64_t indirect_probes = 0;
+    std::uint64_t refutations = 0;
+    /// Someone knew this daemon's id with a later incarnation.
+    std::uint64_t superseded = 0;
+    std::uint64_t stale_updates = 0;
+
+    bool operator==(counters const&) const = default;
+};
+
+/// Failure detector and member list of one daemon.
+///
+/// SWIM (Das, Gupta, Motivala 2002) with suspicion, and local health and
+/// confirmations after Lifeguard (Dadgar, Phillips, Currey 2018). Each
+/// period it probes one member, so cost does not grow with the fleet.
+///
+/// A statement about a member counts only when its (incarnation, counter,
+/// status) is higher than the known one, and only the member itself raises
+/// the first two. Receiving a message from a member that counts as dead
+/// therefore does not revive it; the answer tells it so, and it refutes with
+/// a higher counter. A pair with a one-way cut between them stays stable.
+///
+/// @code
+/// membership::state members(self, {}, now);
+/// members.hint(vm_list, now);
+/// auto todo = members.tick(now, rng); // send todo.messages
+/// @endcode
+class state {
+public:
+    /// `self.status` and `self.counter` are ignored.
+    state(member self, options const& settings, time_point now);
+
+    /// Runs everything that is due at `now`.
+    actions tick(time_point now, random_engine& rng);
+
+    /// Handles an authenticated message.
+    actions receive(probe_message const& message, peer const& from,
+                    time_point now);
+
+    /// Replaces the VM list. Its entries are candidates: they count as
+    /// presumed members until the first probe confirms them or fails.
+    actions hint(std::vector<vm_hint> const& vms, time_point now);
+
+    /// Tells the fleet about a change of this daemon itself.
+    void set_info(member_info info);
+    void set_config(config_digest config) { config_ = config; }
+    void set_leaving_targets(std::vector<target_id> targets);
+
+    /// Announces that this daemon stops; probing ends. Answers messages to
+    /// 3 random members, and to everyone that asks.
+    actions leave(time_point now, random_engine& rng);
+
+    /// Earliest time at which `tick` has something to do.
+    time_point next_tick() const;
+
+    /// This daemon; its incarnation rises when `counters().superseded` does,
+    /// and the envelope must use it.
+    member const& self() const { return self_; }
+
+    /// Record of a member, presumed ones with incarnation 0.
+    std::optional<member> find(daemon_id const& id) const;
+
+    /// Alive and suspect members without this daemon, ordered by id.
+    std::vector<member> live_members() const;
+    std::size_t live_count() const { return live_count_; }
+
+    /// Up to `count` distinct live members.
+    std::vector<member> sample(std::size_t count, random_engine& rng) const;
+
+    /// Whether the VM list names this member as leaving.
+    bool is_leaving(daemon_id const& id) const;
+
+    /// Rises with each change of the member list.
+    std::uint64_t version() const { return version_; }
+    std::uint32_t local_health() const { return local_health_; }
+    membership::counters const& counters() const { return counters_; }
+
+private:
+    struct record {
+        membership::member member;
+        time_point status_since;
+        bool listed = false;  ///< named by the VM list
+        bool leaving = false; ///< the VM list says that it is leaving
+    };
+    struct suspicion {
+        time_point since;
+        std::set<daemon_id> suspecters;
+        time_point deadline;
+    };
+    struct probe {
+        daemon_id subject;
+        std::uint64_t sequence = 0;
+        time_point direct_deadline;
+        time_point deadline;
+        bool indirect = false;
+        std::uint32_t missing_nacks = 0;
+    };
+    struct relay {
+        peer requester;
+        std::uint64_t requester_sequence = 0;
+        daemon_id subject;
+        time_point deadline;
+    };
+
+    using record_map = std::unordered_map<daemon_id, record>;
+
+    void apply(member const& update, daemon_id const& from, time_point now,
+               actions& out);
+    void apply_to_self(member const& update);
+    void adopt(record& known, member const& update, time_point now,
+               actions& out);
+    void suspect(record& known, daemon_id const& from, time_point now,
+                 actions& out);
+    void confirm(daemon_id const& id, daemon_id const& from, time_point now);
+    void set_status(record& known, member_status status, time_point now,
+                    actions& out);
+    void add_member(member const& update, time_point now, actions& out);
+    void forget(daemon_id const& id, actions& out);
+    void reached(daemon_id const& id, time_point now, actions& out);
+
+    void handle(ping const& message, peer const& from, time_point now,
+                actions& out);
+    void handle(ping_req const& message, peer const& from, time_point now,
+                actions& out);
+    void handle(ack const& message, peer const& from, time_point now,
+                actions& out);
+    bool hear(heartbeat const& beat, peer const& from, time_point now,
+              actions& out);
+
+    void start_probe(time_point now, random_engine& rng, actions& out);
+    void probe_dead(time_point now, random_engine& rng, actions& out);
+    void ask_others(time_point now, random_engine& rng, actions& out);
+    void end_probe(time_point now, actions& out);
+    void end_relays(time_point now, actions& out);
+    void end_suspicions(time_point now, actions& out);
+    void forget_old(time_point now, actions& out);
+    std::optional<daemon_id> next_subject(random_engine& rng);
+
+    heartbeat compose(daemon_id const& to, std::size_t bytes);
+    void improve_health();
+    void worsen_health(std::uint32_t by);
+    duration scaled(duration d) const;
+    duration shortest_suspicion() const;
+    time_point suspicion_deadline(suspicion const& s) const;
+    std::uint32_t transmissions() const;
+    void announce_self();
+    void place(daemon_id const& id);
+    void displace(daemon_id const& id);
+
+    member self_;
+    options settings_;
+    config_digest config_;
+    std::vector<target_id> leaving_targets_;
+    record_map members_;
+    std::vector<daemon_id> order_; ///< probe order of live members
+    std::unordered_map<daemon_id, std::size_t> position_;
+    std::size_t next_in_order_ = 0;
+    std::vector<daemon_id> dead_;
+    std::map<daemon_id, suspicion> suspicions_;
+    std::map<std::uint64_t, relay> relays_;
+    std::optional<probe> probe_;
+    update_queue updates_;
+    time_point next_probe_;
+    time_point next_dead_probe_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t refresh_ = 0;
+    std::uint64_t version_ = 0;
+    std::size_t live_count_ = 0;
+    std::uint32_t local_health_ = 0;
+    bool left_ = false;
+    membership::counters counters_;
+};
+
+} // namespace yuccabeam::membership
