--- a/src/yuccabeam/health/ejection_book.cpp
+++ b/src/yuccabeam/health/ejection_book.cpp
@@ -95,10 +95,11 @@
         relapse(record, now);
         return false;
     }
-    if (progress.good_in_row <= record.good_trials)
-        return false;
+    if (progress.good_in_row != record.good_trials)
+        record.trial_progress_at = now;
+    // A late report shows an older row; the round ends with the first
+    // report that shows enough good trials.
     record.good_trials = progress.good_in_row;
-    record.trial_progress_at = now;
     if (record.good_trials < options_.good_trials)
         return false;
     record.phase = ejection_phase::returning;
--- /dev/null
+++ b/src/yuccabeam/health/evidence_test.cpp
@@ -0,0 +1,126 @@
+#include "evidence_merge.hpp"
+#include "fleet_sim.hpp"
+#include "yuccabeam/health/evidence.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace yuccabeam;
+using namespace yuccabeam::health;
+using namespace std::chrono_literals;
+
+namespace {
+
+window_counts some_counts() {
+    window_counts counts;
+    counts.ok = *rc::gen::inRange(0U, 9U);
+    counts.slow = *rc::gen::inRange(0U, 9U);
+    counts.timeout = *rc::gen::inRange(0U, 9U);
+    counts.failing_callers = *rc::gen::arbitrary<std::uint64_t>();
+    counts.latency.counts[*rc::gen::inRange(0U, 16U)] = counts.ok;
+    return counts;
+}
+
+evidence_report report_with(std::uint64_t window, std::uint32_t age,
+                            std::uint32_t timeouts) {
+    evidence_report report;
+    report.window = window;
+    report.targets = {"ta"};
+    report.kinds = {"deposit"};
+    evidence_window item;
+    item.age = age;
+    item.timeout = timeouts;
+    report.windows = {item};
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("merging counts twice or in another order changes nothing") {
+    CHECK(rc::check([] {
+        auto const a = some_counts();
+        auto const b = some_counts();
+        auto const c = some_counts();
+        RC_ASSERT(merge(a, a) == a);
+        RC_ASSERT(merge(a, b) == merge(b, a));
+        RC_ASSERT(merge(a, merge(b, c)) == merge(merge(a, b), c));
+        RC_ASSERT(to_counts(to_window(a)) == a);
+    }));
+}
+
+TEST_CASE("shed answers, callers' errors and cancellations are no evidence") {
+    struct row {
+        request_outcome outcome;
+        std::uint32_t requests;
+        std::uint32_t failures;
+    };
+    for (auto const& [outcome, requests, failures] :
+         std::vector<row>{{request_outcome::ok, 1, 0},
+                          {request_outcome::refused, 1, 1},
+                          {request_outcome::reset, 1, 1},
+                          {request_outcome::timeout, 1, 1},
+                          {request_outcome::server_error, 1, 1},
+                          {request_outcome::short_answer, 1, 1},
+                          {request_outcome::overdue, 1, 0},
+                          {request_outcome::shed, 0, 0},
+                          {request_outcome::caller_error, 0, 0},
+                          {request_outcome::cancelled, 0, 0}}) {
+        CAPTURE(to_string(outcome));
+        window_counts counts;
+        count(counts, {0, 0, outcome, 10ms, 7}, false);
+        CHECK(counts.requests() == requests);
+        CHECK(counts.failures() == failures);
+        CHECK((counts.failing_callers != 0) == (failures > 0));
+    }
+}
+
+TEST_CASE("the sketch's median is within its bucket's factor of two") {
+    for (auto const latency : {1ms, 3ms, 10ms, 70ms, 900ms, 5000ms}) {
+        latency_sketch sketch;
+        sketch.counts[latency_bucket(latency)] = 9;
+        CAPTURE(latency.count());
+        CHECK(median(sketch) > latency / 2);
+        CHECK(median(sketch) < latency * 2);
+    }
+    CHECK(median({}) == duration::zero());
+    CHECK(latency_bucket(0ns) == 0);
+    CHECK(latency_bucket(1h) == latency_buckets - 1);
+}
+
+TEST_CASE("late, repeated and expired windows add no evidence twice") {
+    auto const topology = test::make_topology(2, 0);
+    struct row {
+        std::uint64_t window;
+        std::uint32_t age;
+        std::uint32_t timeouts;
+        std::uint32_t added;
+    };
+    observer_evidence evidence;
+    for (auto const& [window, age, timeouts, added] :
+         std::vector<row>{{100, 0, 2, 2},  // new
+                          {100, 0, 2, 0},  // repeated
+                          {101, 1, 3, 1},  // same window, one more
+                          {100, 0, 2, 0},  // older copy
+                          {111, 11, 9, 0}, // expired
+                          {111, 0, 1, 1}}) {
+        CAPTURE(window);
+        CAPTURE(timeouts);
+        std::uint32_t sum = 0;
+        for (auto const& delta :
+             evidence.take(report_with(window, age, timeouts), topology, 10))
+            sum += delta.counts.timeout;
+        CHECK(sum == added);
+    }
+}
+
+TEST_CASE("a report with unknown names or wild indices is harmless") {
+    auto const topology = test::make_topology(2, 0);
+    observer_evidence evidence;
+    auto report = report_with(5, 0, 1);
+    report.windows[0].target = 9;
+    report.windows.push_back({0, 4, 0, 1});
+    report.windows.push_back({0, 0, 9, 1});
+    report.windows.push_back({1, 0, 0, 1});
+    report.targets.emplace_back("nobody");
+    CHECK(evidence.take(report, topology, 10).empty());
+}
--- a/src/yuccabeam/health/fleet_sim.hpp
+++ b/src/yuccabeam/health/fleet_sim.hpp
@@ -34,9 +34,9 @@
 };
 
 /// Answer of a target to a daemon's request.
-using fault_model = std::function<answer(std::uint32_t target,
-                                         std::uint32_t daemon, time_point now,
-                                         std::mt19937_64& random)>;
+using fault_model =
+    std::function<answer(std::uint32_t target, std::uint32_t daemon,
+                         time_point now, std::mt19937_64& random)>;
 
 class fleet {
 public:
--- a/src/yuccabeam/health/scoreboard.cpp
+++ b/src/yuccabeam/health/scoreboard.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::uint64_t recent_seconds = 2;
+// Fewer requests tell nothing about a rate.
+constexpr std::uint32_t least_requests = 20;
 // A score without evidence for this long says nothing about the present.
 constexpr duration idle_limit = std::chrono::seconds(60);
 
@@ -149,6 +151,14 @@
     return std::nullopt;
 }
 
+bool scoreboard::is_failing(std::uint32_t target) const {
+    tally sum;
+    for (auto const& ring : targets_[target].rates)
+        sum.add(ring.sum());
+    return sum.requests >= least_requests &&
+           sum.failures >= options_.p1 / 2 * sum.requests;
+}
+
 void scoreboard::clear(std::uint32_t target) {
     // Left in the totals, its failures would raise p0 for the others and
     // delay the detection of a second bad target.
--- a/src/yuccabeam/health/scoreboard.hpp
+++ b/src/yuccabeam/health/scoreboard.hpp
@@ -75,6 +75,9 @@
     /// The test that crossed the threshold with enough spread, worst first.
     std::optional<test_id> crossed(std::uint32_t target,
                                    std::uint32_t observers) const;
+    /// Whether the target fails at half of p1 or more, whatever the others
+    /// do.
+    bool is_failing(std::uint32_t target) const;
     double threshold() const { return threshold_; }
 
     /// Forgets a target's scores.
--- a/src/yuccabeam/health/service_health.cpp
+++ b/src/yuccabeam/health/service_health.cpp
@@ -5,6 +5,12 @@
 
 namespace yuccabeam::health {
 
+namespace {
+
+constexpr std::uint32_t slow_trials = 3;
+
+} // namespace
+
 service_health::implementation::implementation(observer_identity self,
                                                service_topology topology,
                                                health_options options,
@@ -169,8 +175,12 @@
     auto const slow =
         seen.outcome == request_outcome::overdue ||
         (seen.outcome == request_outcome::ok && local_.is_slow(seen));
-    if (is_failure(seen.outcome) || slow)
+    // Answers of healthy targets are heavy-tailed: one slow trial only
+    // starts the row again.
+    if (is_failure(seen.outcome) || (slow && ++trial.slow >= slow_trials))
         trial.failed = true;
+    else if (slow)
+        trial.good = 0;
     else if (seen.outcome == request_outcome::ok)
         ++trial.good;
     else
--- a/src/yuccabeam/health/service_state.hpp
+++ b/src/yuccabeam/health/service_state.hpp
@@ -16,6 +16,7 @@
 struct trial_state {
     std::uint32_t round = 0;
     std::uint32_t good = 0;
+    std::uint32_t slow = 0;
     bool failed = false;
     bool in_flight = false;
     time_point sent_at{};
