--- a/include/yuccabeam/membership/config_spread.hpp
+++ b/include/yuccabeam/membership/config_spread.hpp
@@ -25,8 +25,8 @@
     bool operator==(spread_options const&) const = default;
 };
 
-/// Fetch the manifest and the chunks that are missing, then report with
-/// `fetched`.
+/// Fetch the manifest and the chunks that are missing, apply them and call
+/// `applied`, or `fetch_failed`.
 struct fetch_request {
     config_digest config;
     /// Peer's HTTP address; empty means the store.
@@ -70,9 +70,8 @@
     std::optional<fetch_request> heard(digest_heard const& digest,
                                        time_point now);
 
-    /// Outcome of the running fetch. After a success the calling code
-    /// applies the configuration and calls `applied`.
-    std::optional<fetch_request> fetched(bool success, time_point now);
+    /// The running fetch gave no complete and valid configuration.
+    std::optional<fetch_request> fetch_failed(time_point now);
 
     /// Ends overdue fetches and retries.
     std::optional<fetch_request> tick(time_point now);
--- a/include/yuccabeam/membership/membership.hpp
+++ b/include/yuccabeam/membership/membership.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/membership/messages.hpp"
 #include "yuccabeam/membership/options.hpp"
+#include "yuccabeam/membership/probe_order.hpp"
 #include "yuccabeam/membership/update_queue.hpp"
 #include "yuccabeam/values/time.hpp"
 
@@ -17,7 +18,6 @@
 
 namespace yuccabeam::membership {
 
-using random_engine = std::mt19937_64;
 using probe_message = std::variant<ping, ping_req, ack>;
 
 /// Sender of a received message: authenticated id and source address.
@@ -112,7 +112,9 @@
     /// `self.status` and `self.counter` are ignored.
     state(member self, options const& settings, time_point now);
 
-    /// Runs everything that is due at `now`.
+    /// Runs everything that is due at `now`. A call later than
+    /// `next_tick()` by more than the probe timeout counts as a pause of this
+    /// daemon, and the running probe is dropped.
     actions tick(time_point now, random_engine& rng);
 
     /// Handles an authenticated message.
@@ -144,7 +146,7 @@
 
     /// Alive and suspect members without this daemon, ordered by id.
     std::vector<member> live_members() const;
-    std::size_t live_count() const { return live_count_; }
+    std::size_t live_count() const { return live_.size(); }
 
     /// Up to `count` distinct live members.
     std::vector<member> sample(std::size_t count, random_engine& rng) const;
@@ -161,13 +163,15 @@
     struct record {
         membership::member member;
         time_point status_since;
-        bool listed = false;  ///< named by the VM list
-        bool leaving = false; ///< the VM list says that it is leaving
+        std::string hint_address; ///< from the VM list
+        bool listed = false;      ///< named by the VM list
+        bool leaving = false;     ///< the VM list says that it is leaving
     };
     struct suspicion {
         time_point since;
-        std::set<daemon_id> suspecters;
-        time_point deadline;
+        std::set<daemon_id> reporters;
+        /// Someone else already declared the member dead.
+        bool declared_dead = false;
     };
     struct probe {
         daemon_id subject;
@@ -184,31 +188,29 @@
         time_point deadline;
     };
 
-    using record_map = std::unordered_map<daemon_id, record>;
-
-    void apply(member const& update, daemon_id const& from, time_point now,
-               actions& out);
+    // Member list: membership.cpp.
+    void apply(member const& update, time_point now, actions& out);
     void apply_to_self(member const& update);
-    void adopt(record& known, member const& update, time_point now,
-               actions& out);
-    void suspect(record& known, daemon_id const& from, time_point now,
+    void add(member const& update, time_point now, actions& out);
+    void adopt_alive(record& known, member const& update, time_point now,
+                     actions& out);
+    void suspect(record& known, member const& claim, time_point now,
                  actions& out);
-    void confirm(daemon_id const& id, daemon_id const& from, time_point now);
-    void set_status(record& known, member_status status, time_point now,
-                    actions& out);
-    void add_member(member const& update, time_point now, actions& out);
+    void confirm(record& known, daemon_id const& reporter);
+    void set_status(record& known, member_status status, time_point now);
     void forget(daemon_id const& id, actions& out);
-    void reached(daemon_id const& id, time_point now, actions& out);
+    void announce_self();
 
+    // Messages and time: probing.cpp.
     void handle(ping const& message, peer const& from, time_point now,
                 actions& out);
     void handle(ping_req const& message, peer const& from, time_point now,
                 actions& out);
     void handle(ack const& message, peer const& from, time_point now,
                 actions& out);
-    bool hear(heartbeat const& beat, peer const& from, time_point now,
+    void hear(heartbeat const& beat, peer const& from, time_point now,
               actions& out);
-
+    void resume_after_pause(duration pause);
     void start_probe(time_point now, random_engine& rng, actions& out);
     void probe_dead(time_point now, random_engine& rng, actions& out);
     void ask_others(time_point now, random_engine& rng, actions& out);
@@ -216,38 +218,32 @@
     void end_relays(time_point now, actions& out);
     void end_suspicions(time_point now, actions& out);
     void forget_old(time_point now, actions& out);
-    std::optional<daemon_id> next_subject(random_engine& rng);
 
     heartbeat compose(daemon_id const& to, std::size_t bytes);
-    void improve_health();
-    void worsen_health(std::uint32_t by);
+    void refresh(heartbeat& beat, std::size_t bytes, std::size_t most);
+    void change_health(int by);
     duration scaled(duration d) const;
     duration shortest_suspicion() const;
-    time_point suspicion_deadline(suspicion const& s) const;
+    time_point deadline(suspicion const& s) const;
     std::uint32_t transmissions() const;
-    void announce_self();
-    void place(daemon_id const& id);
-    void displace(daemon_id const& id);
 
     member self_;
     options settings_;
     config_digest config_;
     std::vector<target_id> leaving_targets_;
-    record_map members_;
-    std::vector<daemon_id> order_; ///< probe order of live members
-    std::unordered_map<daemon_id, std::size_t> position_;
-    std::size_t next_in_order_ = 0;
-    std::vector<daemon_id> dead_;
+    std::unordered_map<daemon_id, record> members_;
+    probe_order live_;
+    probe_order dead_;
     std::map<daemon_id, suspicion> suspicions_;
-    std::map<std::uint64_t, relay> relays_;
+    std::map<std::uint64_t, relay> relays_; ///< by own sequence
     std::optional<probe> probe_;
     update_queue updates_;
     time_point next_probe_;
     time_point next_dead_probe_;
+    time_point next_forget_;
     std::uint64_t sequence_ = 0;
-    std::uint64_t refresh_ = 0;
+    std::size_t refresh_cursor_ = 0;
     std::uint64_t version_ = 0;
-    std::size_t live_count_ = 0;
     std::uint32_t local_health_ = 0;
     bool left_ = false;
     membership::counters counters_;
--- a/include/yuccabeam/membership/messages.hpp
+++ b/include/yuccabeam/membership/messages.hpp
@@ -36,13 +36,16 @@
 };
 
 /// One daemon as its peers describe it. `counter` orders statements about
-/// one incarnation; only the daemon itself raises it.
+/// one incarnation; only the daemon itself raises it. Statements other than
+/// `alive` travel without `info`.
 struct member {
     daemon_id id;
     yuccabeam::incarnation incarnation = 0;
     std::uint32_t counter = 0;
     member_status status = member_status::alive;
     member_info info;
+    /// Daemon whose probe failed; only with status `suspect`.
+    daemon_id reporter;
 
     auto operator<=>(member const&) const = default;
 };
--- /dev/null
+++ b/src/yuccabeam/membership/probe_order.cpp
@@ -0,0 +1,51 @@
+#include "yuccabeam/membership/probe_order.hpp"
+
+#include <utility>
+
+namespace yuccabeam::membership {
+
+void probe_order::place(std::size_t index, daemon_id const& id) {
+    ids_[index] = id;
+    position_[id] = index;
+}
+
+void probe_order::add(daemon_id const& id) {
+    if (!position_.emplace(id, ids_.size()).second)
+        return;
+    ids_.push_back(id);
+}
+
+void probe_order::remove(daemon_id const& id) {
+    auto const found = position_.find(id);
+    if (found == position_.end())
+        return;
+    std::size_t hole = found->second;
+    position_.erase(found);
+    // Fills the hole without mixing the served part with the rest.
+    if (hole < served_) {
+        --served_;
+        if (hole != served_)
+            place(hole, daemon_id(ids_[served_]));
+        hole = served_;
+    }
+    if (hole + 1 != ids_.size())
+        place(hole, daemon_id(ids_.back()));
+    ids_.pop_back();
+}
+
+std::optional<daemon_id> probe_order::next(random_engine& rng) {
+    if (ids_.empty())
+        return std::nullopt;
+    if (served_ == ids_.size())
+        served_ = 0;
+    std::uniform_int_distribution<std::size_t> pick(served_, ids_.size() - 1);
+    std::size_t const chosen = pick(rng);
+    if (chosen != served_) {
+        daemon_id const moved = ids_[served_];
+        place(served_, daemon_id(ids_[chosen]));
+        place(chosen, moved);
+    }
+    return ids_[served_++];
+}
+
+} // namespace yuccabeam::membership
