Add the property test of the ejection bound

Daemons with differing views, restarts, and a link that delays, repeats, reorders and loses messages: the slots that any daemon ejects never exceed the budget.

--- /dev/null
+++ b/src/yuccabeam/health/ejection_bound_test.cpp
@@ -0,0 +1,176 @@
+#include "fleet_sim.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+using namespace yuccabeam;
+using namespace yuccabeam::health;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t targets = 12;
+constexpr std::uint32_t budget_slots = 36; // of 72
+
+/// Options under which any failure is a verdict, so that only the grant
+/// protocol limits the ejections.
+health_options eager() {
+    health_options options;
+    options.detector.false_alarm_interval = 100ms;
+    options.detector.callers = 0;
+    options.detector.observer_share = 1;
+    options.detector.looks_bad = 2;
+    return options;
+}
+
+/// Daemons with their own views of who the arbiter is and how many home
+/// daemons there are; a link that delays, repeats, reorders and loses; and
+/// restarts that forget everything.
+class unruly_fleet {
+public:
+    unruly_fleet(std::uint64_t seed, std::uint32_t daemons) : random_(seed) {
+        nodes_.resize(daemons);
+        for (auto& node : nodes_)
+            restart(node);
+    }
+
+    void step() {
+        now += 200ms;
+        deliver();
+        for (auto& node : nodes_)
+            act(node);
+    }
+
+    /// Slots that at least one daemon ejects now.
+    std::uint32_t ejected_slots() const {
+        std::set<std::uint32_t> ejected;
+        for (auto const& node : nodes_)
+            for (std::uint32_t i = 0; i < targets; ++i) {
+                auto const status = node.health->status(i, now);
+                if (status.reason == state_reason::granted)
+                    ejected.insert(i);
+            }
+        return static_cast<std::uint32_t>(ejected.size()) * 6;
+    }
+
+    time_point now{100s};
+
+private:
+    struct node {
+        std::unique_ptr<service_health> health;
+        std::unique_ptr<arbiter> judge;
+        daemon_id choice;
+        std::uint32_t homes = 0;
+    };
+
+    bool chance(double share) {
+        return std::bernoulli_distribution(share)(random_);
+    }
+    std::size_t below(std::size_t limit) { return random_() % limit; }
+    std::string name_of(node const& node) const {
+        return "d" + std::to_string(&node - nodes_.data());
+    }
+
+    void restart(node& node) {
+        ++incarnation_;
+        // The local floor check is off: it would hide the arbiters' faults.
+        node.health = std::make_unique<service_health>(
+            observer_identity{{name_of(node)}, incarnation_, {"z0"}},
+            test::make_topology(targets, 0), eager(), now);
+        node.judge.reset();
+        choose(node);
+    }
+
+    void choose(node& node) {
+        // Mostly few arbiters, so that shares are large enough to matter.
+        auto const choice = "d" + std::to_string(below(chance(0.7) ? 2 : 3));
+        node.choice = {choice};
+        // Views differ, but none is below the real number.
+        node.homes =
+            static_cast<std::uint32_t>(nodes_.size() + (chance(0.2) ? 1 : 0));
+        node.health->choose_arbiter(node.choice, node.homes);
+        if (choice != name_of(node))
+            node.judge.reset();
+        else if (!node.judge)
+            node.judge = std::make_unique<arbiter>(
+                node.choice, ++incarnation_,
+                test::make_topology(targets, targets * 6 - budget_slots),
+                eager(), random_(), now);
+        if (node.judge)
+            node.judge->set_home_daemons(node.homes);
+    }
+
+    void act(node& node) {
+        if (chance(0.002))
+            restart(node);
+        if (chance(0.01))
+            choose(node);
+        if (chance(0.3))
+            node.health->observe({static_cast<std::uint32_t>(below(targets)), 0,
+                                  request_outcome::refused, 1ms, 1},
+                                 now);
+        if (now < node.health->report_due())
+            return;
+        auto const report = node.health->report(now);
+        if (!report)
+            return;
+        auto const to = std::stoul(report->arbiter.substr(1));
+        send([this, to, report = *report] {
+            if (nodes_[to].judge)
+                for (auto const& table : nodes_[to].judge->receive(report, now))
+                    send([this, table] {
+                        nodes_[std::stoul(table.receiver.substr(1))]
+                            .health->apply(table, now);
+                    });
+        });
+    }
+
+    void send(std::function<void()> const& message) {
+        if (chance(0.05))
+            return;
+        auto const copies = chance(0.1) ? 2 : 1;
+        for (auto i = 0; i < copies; ++i)
+            messages_.emplace(
+                now + (chance(0.08)
+                           ? from_seconds(static_cast<double>(below(90)) / 10)
+                           : duration(5ms)),
+                message);
+    }
+
+    void deliver() {
+        while (!messages_.empty() && messages_.begin()->first <= now) {
+            auto const message = messages_.begin()->second;
+            messages_.erase(messages_.begin());
+            message();
+        }
+    }
+
+    std::mt19937_64 random_;
+    incarnation incarnation_ = 0;
+    std::vector<node> nodes_;
+    std::multimap<time_point, std::function<void()>> messages_;
+};
+
+} // namespace
+
+TEST_CASE("all valid grants of all arbiters together stay within the budget") {
+    std::uint32_t most = 0;
+    CHECK(rc::check([&most] {
+        auto const seed =
+            *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+        auto const daemons = *rc::gen::inRange(3U, 8U);
+        unruly_fleet fleet(seed, daemons);
+        for (auto i = 0; i < 600; ++i) {
+            fleet.step();
+            auto const ejected = fleet.ejected_slots();
+            most = std::max(most, ejected);
+            RC_ASSERT(ejected <= budget_slots);
+        }
+    }));
+    // Without grants up to the bound the property would hold for nothing.
+    CHECK(most == budget_slots);
+}
--- a/src/yuccabeam/health/evidence_test.cpp
+++ b/src/yuccabeam/health/evidence_test.cpp
@@ -34,6 +34,16 @@
     return report;
 }
 
+evidence_window window_at(std::uint32_t target, std::uint32_t kind,
+                          std::uint32_t age) {
+    evidence_window item;
+    item.target = target;
+    item.kind = kind;
+    item.age = age;
+    item.ok = 1;
+    return item;
+}
+
 } // namespace
 
 TEST_CASE("merging counts twice or in another order changes nothing") {
@@ -118,9 +128,9 @@
     observer_evidence evidence;
     auto report = report_with(5, 0, 1);
     report.windows[0].target = 9;
-    report.windows.push_back({0, 4, 0, 1});
-    report.windows.push_back({0, 0, 9, 1});
-    report.windows.push_back({1, 0, 0, 1});
+    report.windows.push_back(window_at(0, 4, 0));
+    report.windows.push_back(window_at(0, 0, 9));
+    report.windows.push_back(window_at(1, 0, 0));
     report.targets.emplace_back("nobody");
     CHECK(evidence.take(report, topology, 10).empty());
 }
--- a/src/yuccabeam/health/service_health.cpp
+++ b/src/yuccabeam/health/service_health.cpp
@@ -84,8 +84,11 @@
                 next_change::end_of_leaving};
     if (runs_trial(target, now) &&
         (is_ejected(target, now) || granted.spared_until > now))
-        return {target_state::trial, 0, state_reason::granted, granted.since,
-                next_change::trials};
+        return {target_state::trial, 0,
+                is_ejected(target, now) ? state_reason::granted
+                : granted.lost          ? state_reason::domain_lost
+                                        : state_reason::budget,
+                granted.since, next_change::trials};
     if (is_ejected(target, now))
         return {target_state::ejected, 0, state_reason::granted, granted.since,
                 granted.last.hold_ms > 0 ? next_change::hold_end
