--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -100,3 +100,12 @@
  "daemons": [$list]}
 JSON
 }
+
+# set_daemon_vms INDEX:DOMAIN... lists daemons as live VMs.
+set_daemon_vms() {
+    local entry list=""
+    for entry in "$@"; do
+        list="$list${list:+,}{\"id\":\"daemon-${entry%%:*}\",\"role\":\"daemon\",\"failure_domain\":\"${entry##*:}\",\"address\":\"127.0.0.1:$(daemon_port "${entry%%:*}" 2)\"}"
+    done
+    set_vms "[$list]"
+}
