Keep the event loop alive as long as its responders

Cause: the stand-in store hung at its end: a waiting watch held a connection whose strand belongs to an event loop that was destroyed before it; the stack showed the strand's destructor waiting on a freed mutex.

Change: a responder shares ownership of the event loop.

Conclusion: the order of destruction no longer depends on who keeps a responder.

--- a/src/yuccabeam/adapters/http_server.cpp
+++ b/src/yuccabeam/adapters/http_server.cpp
@@ -102,10 +102,12 @@
 
 class responder final : public http_responder {
 public:
-    responder(restinio::request_handle_t request, std::uint64_t number,
+    responder(std::shared_ptr<asio::io_context> context,
+              restinio::request_handle_t request, std::uint64_t number,
               std::shared_ptr<open_requests> requests, bool close_after)
-        : request_(std::move(request)), number_(number),
-          requests_(std::move(requests)), close_after_(close_after) {}
+        : context_(std::move(context)), request_(std::move(request)),
+          number_(number), requests_(std::move(requests)),
+          close_after_(close_after) {}
 
     ~responder() override {
         if (!ended_)
@@ -207,6 +209,9 @@
         }
     }
 
+    // Outlives the connection: its strand belongs to a service of the context,
+    // and a responder may be kept beyond the server.
+    std::shared_ptr<asio::io_context> context_;
     restinio::request_handle_t request_;
     std::uint64_t number_;
     std::shared_ptr<open_requests> requests_;
@@ -235,14 +240,15 @@
     std::atomic<std::uint64_t> next_request{1};
     std::atomic<bool> accepting{true};
     std::uint16_t port = 0;
-    asio::io_context context;
+    std::shared_ptr<asio::io_context> context =
+        std::make_shared<asio::io_context>();
     std::unique_ptr<restinio_server> server;
     std::vector<std::thread> threads;
 
     restinio::request_handling_status_t
     handle(restinio::request_handle_t request) {
-        auto answer = std::make_shared<responder>(request, next_request++,
-                                                  requests, !accepting);
+        auto answer = std::make_shared<responder>(
+            context, request, next_request++, requests, !accepting);
         if (request->body().size() > options.max_body_bytes) {
             answer->send(json_reply(
                 413, R"({"reason":"the request body is too large"})"));
@@ -268,7 +274,8 @@
     auto const address = split_address(options.address);
     try {
         self_->server = std::make_unique<restinio_server>(
-            restinio::external_io_context(self_->context), [&](auto& settings) {
+            restinio::external_io_context(*self_->context),
+            [&](auto& settings) {
                 settings.address(address.host)
                     .port(address.port)
                     .buffer_size(16 * 1024)
@@ -306,7 +313,7 @@
     }
     for (unsigned i = 0; i < options.threads; ++i)
         self_->threads.emplace_back(
-            [self = self_.get()] { self->context.run(); });
+            [self = self_.get()] { self->context->run(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -321,7 +328,7 @@
 }
 
 void http_server::stop() {
-    self_->context.stop();
+    self_->context->stop();
     for (auto& thread : self_->threads)
         thread.join();
     self_->threads.clear();
