--- a/include/yuccabeam/health/detector.hpp
+++ b/include/yuccabeam/health/detector.hpp
@@ -22,6 +22,13 @@
 /// fail at `others_rate`: p0 is raised to that rate, and p1 stays apart.
 likelihood_steps steps_for(detector_options const& options, double others_rate);
 
+/// Steps while most other targets fail as well: bad requests say nothing
+/// about one target then, and good ones still count for it.
+likelihood_steps undecided_steps(detector_options const& options);
+
+/// Rate above which `undecided_steps` apply when most others reach it.
+double undecided_rate();
+
 /// Decision threshold. A CUSUM of log likelihood ratios with threshold h has
 /// a mean time between false alarms of at least e^h observations (Lorden
 /// 1971, "Procedures for reacting to a change in distribution").
--- a/src/yuccabeam/health/detector.cpp
+++ b/src/yuccabeam/health/detector.cpp
@@ -11,8 +11,7 @@
 // The others' rate is an estimate; a fifth above it keeps the drift of a
 // healthy target negative when the estimate is low.
 constexpr double rate_margin = 1.2;
-constexpr double highest_p0 = 0.6;
-constexpr double highest_p1 = 0.95;
+constexpr double highest_p0 = 0.3;
 // Under overload targets fail at different rates. A target must fail three
 // times as often as the others to be the cause.
 constexpr double least_separation = 3;
@@ -24,11 +23,18 @@
                            double others_rate) {
     auto const p0 =
         std::clamp(others_rate * rate_margin, options.p0, highest_p0);
-    auto const p1 =
-        std::min(highest_p1, std::max(options.p1, p0 * least_separation));
+    auto const p1 = std::max(options.p1, p0 * least_separation);
     return {std::log((1 - p1) / (1 - p0)), std::log(p1 / p0)};
 }
 
+likelihood_steps undecided_steps(detector_options const& options) {
+    return {steps_for(options, 0).good, 0};
+}
+
+double undecided_rate() {
+    return highest_p0;
+}
+
 double threshold_of(detector_options const& options) {
     return std::log(options.requests_per_s *
                     to_seconds(options.false_alarm_interval));
--- /dev/null
+++ b/src/yuccabeam/health/ejection_book_test.cpp
@@ -0,0 +1,111 @@
+#include "ejection_book.hpp"
+#include "fleet_sim.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace yuccabeam;
+using namespace yuccabeam::health;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1000s};
+
+verdict_evidence bad(std::uint32_t of_hundred) {
+    verdict_evidence evidence;
+    evidence.requests = 100;
+    evidence.bad = of_hundred;
+    return evidence;
+}
+
+std::uint32_t granted(ejection_book const& book, std::uint32_t targets) {
+    std::uint32_t number = 0;
+    for (std::uint32_t i = 0; i < targets; ++i)
+        number += book.of(i).granted ? 1U : 0U;
+    return number;
+}
+
+} // namespace
+
+TEST_CASE("a binding budget goes to the worst targets") {
+    auto const topology = test::make_topology(3, 0);
+    ejection_book book(topology, {}, 1);
+    book.open(0, "", bad(30), start);
+    book.open(1, "", bad(100), start);
+    book.open(2, "", bad(60), start);
+    CHECK(book.settle(topology, 12, start));
+    CHECK(book.of(0).spared == "budget");
+    CHECK(book.of(1).granted);
+    CHECK(book.of(2).granted);
+}
+
+TEST_CASE("a shrinking share can't be exceeded by alternating subsets") {
+    auto const topology = test::make_topology(4, 0);
+    ejection_book book(topology, {}, 1);
+    for (std::uint32_t i = 0; i < 4; ++i)
+        book.open(i, "", bad(90 - i), start);
+    book.settle(topology, 24, start);
+    CHECK(granted(book, 4) == 4);
+    book.settle(topology, 12, start + 1s);
+    CHECK(granted(book, 4) == 2);
+    // The renewed ones become free for a moment; the others must not take
+    // their place while grants of the first table may still be valid.
+    book.drop(0);
+    book.drop(1);
+    book.settle(topology, 12, start + 2s);
+    CHECK(granted(book, 4) == 0);
+    CHECK(book.outstanding_slots(topology, start + 4400ms) == 24);
+    CHECK(book.outstanding_slots(topology, start + 5s) == 12);
+    book.settle(topology, 12, start + 6s);
+    CHECK(granted(book, 4) == 2);
+}
+
+TEST_CASE("hold-downs double at relapses, up to the limit, with jitter") {
+    auto const topology = test::make_topology(1, 0);
+    grant_options const options;
+    ejection_book book(topology, options, 7);
+    std::vector<trial_candidate> const daemons = {{{"d0"}, "z0", {}}};
+    auto now = start;
+    book.open(0, "", bad(100), now);
+    duration wanted = options.hold;
+    for (auto relapses = 0; relapses < 9; ++relapses) {
+        auto const length = book.of(0).hold_until - now;
+        CAPTURE(relapses);
+        CHECK(to_seconds(length) >= to_seconds(wanted) * 0.8);
+        CHECK(to_seconds(length) <= to_seconds(wanted) * 1.2);
+        now = book.of(0).hold_until;
+        book.advance(topology, daemons, now);
+        REQUIRE(book.of(0).phase == ejection_phase::trial);
+        book.note_trial(0, {"d0"}, {"ta", book.of(0).trial_round, 3, true},
+                        now);
+        wanted = std::min<duration>(wanted * 2, options.hold_limit);
+    }
+}
+
+TEST_CASE("only the named daemon's present round ends an ejection") {
+    auto const topology = test::make_topology(1, 0);
+    ejection_book book(topology, {}, 7);
+    book.open(0, "", bad(100), start);
+    auto const now = book.of(0).hold_until;
+    book.advance(topology, {{{"d1"}, "z0", {"z0"}}, {{"d0"}, "z0", {}}}, now);
+    // d1 suspects its link to the target's failure domain.
+    REQUIRE(book.of(0).trial_daemon == daemon_id{"d0"});
+    auto const round = book.of(0).trial_round;
+    CHECK_FALSE(book.note_trial(0, {"d1"}, {"ta", round, 5, false}, now));
+    CHECK_FALSE(book.note_trial(0, {"d0"}, {"ta", round + 1, 5, false}, now));
+    CHECK_FALSE(book.note_trial(0, {"d0"}, {"ta", round, 4, false}, now));
+    CHECK(book.note_trial(0, {"d0"}, {"ta", round, 5, false}, now));
+    CHECK(book.of(0).phase == ejection_phase::returning);
+    book.advance(topology, {}, now + 10s);
+    CHECK(book.of(0).phase == ejection_phase::none);
+}
+
+TEST_CASE("a silent trial daemon is replaced") {
+    auto const topology = test::make_topology(1, 0);
+    ejection_book book(topology, {}, 7);
+    book.open(0, "", bad(100), start);
+    auto const now = book.of(0).hold_until;
+    book.advance(topology, {{{"d0"}, "z0", {}}}, now);
+    book.advance(topology, {{{"d1"}, "z0", {}}}, now + 1s);
+    CHECK(book.of(0).trial_daemon == daemon_id{"d1"});
+}
--- a/src/yuccabeam/health/ejection_bound_test.cpp
+++ b/src/yuccabeam/health/ejection_bound_test.cpp
@@ -14,7 +14,16 @@
 namespace {
 
 constexpr std::uint32_t targets = 12;
-constexpr std::uint32_t budget_slots = 36; // of 72
+// One slot for each target and a budget that most shares don't divide, so
+// that rounding matters.
+constexpr std::uint32_t budget_slots = 5;
+
+service_topology topology_with(std::uint32_t floor_slots) {
+    auto topology = test::make_topology(targets, floor_slots);
+    for (auto& target : topology.targets)
+        target.slots = 1;
+    return topology;
+}
 
 /// Options under which any failure is a verdict, so that only the grant
 /// protocol limits the ejections.
@@ -54,7 +63,7 @@
                 if (status.reason == state_reason::granted)
                     ejected.insert(i);
             }
-        return static_cast<std::uint32_t>(ejected.size()) * 6;
+        return static_cast<std::uint32_t>(ejected.size());
     }
 
     time_point now{100s};
@@ -80,7 +89,7 @@
         // The local floor check is off: it would hide the arbiters' faults.
         node.health = std::make_unique<service_health>(
             observer_identity{{name_of(node)}, incarnation_, {"z0"}},
-            test::make_topology(targets, 0), eager(), now);
+            topology_with(0), eager(), now);
         node.judge.reset();
         choose(node);
     }
@@ -89,7 +98,7 @@
         // Mostly few arbiters, so that shares are large enough to matter.
         auto const choice = "d" + std::to_string(below(chance(0.7) ? 2 : 3));
         node.choice = {choice};
-        // Views differ, but none is below the real number.
+        // Views differ; the supporters' are not below the real number.
         node.homes =
             static_cast<std::uint32_t>(nodes_.size() + (chance(0.2) ? 1 : 0));
         node.health->choose_arbiter(node.choice, node.homes);
@@ -98,10 +107,9 @@
         else if (!node.judge)
             node.judge = std::make_unique<arbiter>(
                 node.choice, ++incarnation_,
-                test::make_topology(targets, targets * 6 - budget_slots),
-                eager(), random_(), now);
+                topology_with(targets - budget_slots), eager(), random_(), now);
         if (node.judge)
-            node.judge->set_home_daemons(node.homes);
+            node.judge->set_home_daemons(chance(0.5) ? 1 : node.homes);
     }
 
     void act(node& node) {
--- a/src/yuccabeam/health/local_detector.hpp
+++ b/src/yuccabeam/health/local_detector.hpp
@@ -6,6 +6,7 @@
 #include "yuccabeam/health/status.hpp"
 #include "yuccabeam/health/topology.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -52,8 +53,14 @@
     bool is_suspect(std::uint32_t target, time_point now) const {
         return suspicions_[target].until > now && majority_until_ <= now;
     }
+    /// Was suspect of late and has not answered well since; ignores the
+    /// other targets.
     bool looks_bad(std::uint32_t target, time_point now) const {
-        return suspicions_[target].until > now;
+        auto const& state = suspicions_[target];
+        return state.until > now ||
+               (now - state.until < reports_.suspect_time &&
+                std::max(state.failures, state.slowness) >=
+                    detector_.suspect_score / 2);
     }
     bool majority_bad(time_point now) const { return majority_until_ > now; }
     suspicion const& of(std::uint32_t target) const {
--- a/src/yuccabeam/health/scoreboard.cpp
+++ b/src/yuccabeam/health/scoreboard.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint64_t recent_seconds = 2;
 // Fewer requests tell nothing about a rate.
 constexpr std::uint32_t least_requests = 20;
+constexpr std::uint32_t few_requests = 3;
 // A score without evidence for this long says nothing about the present.
 constexpr duration idle_limit = std::chrono::seconds(60);
 
@@ -62,10 +63,11 @@
     sum_.subtract(part.sum_);
 }
 
-tally rate_ring::recent() const {
+tally rate_ring::recent(std::uint64_t second) const {
     tally result;
     for (std::uint64_t i = 0; i < recent_seconds && i <= head_; ++i)
-        result.add(seconds_[(head_ - i) % seconds_.size()]);
+        if (head_ - i + recent_seconds > second)
+            result.add(seconds_[(head_ - i) % seconds_.size()]);
     return result;
 }
 
@@ -87,6 +89,33 @@
                     rate(totals_[kind].recent(), own.recent()));
 }
 
+double scoreboard::others_median(std::uint32_t target, std::uint32_t kind,
+                                 bool slowness, std::uint64_t second) const {
+    std::vector<double> rates;
+    for (std::uint32_t i = 0; i < targets_.size(); ++i) {
+        auto const seen = targets_[i].rates[kind].recent(second);
+        if (i != target && seen.requests >= few_requests)
+            rates.push_back(
+                static_cast<double>(slowness ? seen.slow : seen.failures) /
+                seen.requests);
+    }
+    if (rates.empty())
+        return 0;
+    auto const middle =
+        rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+    std::nth_element(rates.begin(), middle, rates.end());
+    return *middle;
+}
+
+likelihood_steps scoreboard::steps(std::uint32_t target, std::uint32_t kind,
+                                   bool slowness, std::uint64_t second) const {
+    // The median tells a fault of the service from a second bad target,
+    // which raises only the mean.
+    if (others_median(target, kind, slowness, second) >= undecided_rate())
+        return undecided_steps(options_);
+    return steps_for(options_, others_rate(target, kind, slowness));
+}
+
 void scoreboard::add(evidence_delta const& delta, std::uint32_t observer,
                      time_point now) {
     auto const second = window_of(now);
@@ -101,10 +130,8 @@
         counts.refused + counts.reset, counts.failing_callers};
     evidence_batch const slowness{observer, counts.ok, counts.slow, 0,
                                   counts.slow_callers};
-    auto const failure_steps =
-        steps_for(options_, others_rate(delta.target, delta.kind, false));
-    auto const slow_steps =
-        steps_for(options_, others_rate(delta.target, delta.kind, true));
+    auto const failure_steps = steps(delta.target, delta.kind, false, second);
+    auto const slow_steps = steps(delta.target, delta.kind, true, second);
     auto const put = [&](cusum& test, evidence_batch const& batch,
                          likelihood_steps steps) {
         if (now - test.last > idle_limit)
--- a/src/yuccabeam/health/scoreboard.hpp
+++ b/src/yuccabeam/health/scoreboard.hpp
@@ -30,7 +30,9 @@
     /// Takes out what `part` contributed.
     void remove(rate_ring part);
     tally const& sum() const { return sum_; }
-    tally recent() const;
+    /// Sum over the last 2 s, as seen in this second.
+    tally recent(std::uint64_t second) const;
+    tally recent() const { return recent(head_); }
 
 private:
     std::array<tally, 10> seconds_{};
@@ -88,6 +90,11 @@
 private:
     double others_rate(std::uint32_t target, std::uint32_t kind,
                        bool slowness) const;
+    /// Median over the other targets of their rates in the last 2 s.
+    double others_median(std::uint32_t target, std::uint32_t kind,
+                         bool slowness, std::uint64_t second) const;
+    likelihood_steps steps(std::uint32_t target, std::uint32_t kind,
+                           bool slowness, std::uint64_t second) const;
     bool is_bad(cusum const& test, bool slowness,
                 std::uint32_t observers) const;
 
--- a/src/yuccabeam/health/service_health.cpp
+++ b/src/yuccabeam/health/service_health.cpp
@@ -293,10 +293,11 @@
     if (leaving_until_[target] <= now)
         leaving_since_[target] = now;
     leaving_until_[target] = now + options_.reports.leaving_time;
+    if (known)
+        return;
     check_floor(now);
-    if (!known)
-        hasten_report(
-            std::max(now, last_report_ + options_.reports.after_failure));
+    hasten_report(
+        std::max(now, last_report_ + options_.reports.after_failure));
 }
 
 void service_health::implementation::clear_leaving(std::uint32_t target,
