--- a/src/yuccabeam/health/arbiter_state.hpp
+++ b/src/yuccabeam/health/arbiter_state.hpp
@@ -39,10 +39,9 @@
                    time_point now);
     ejection_table table(time_point now) const;
 
-    std::uint32_t home_daemons_ = 0;
-    arbiter_counters counters_;
-
 private:
+    friend class arbiter;
+
     struct share {
         std::uint32_t budget = 0;
         std::uint32_t limit = 0;
@@ -94,6 +93,8 @@
     std::map<std::string, scoreboard> by_domain_; ///< of the observers
     std::map<std::string, observer_state> observers_;
     std::uint32_t next_observer_ = 0;
+    std::uint32_t home_daemons_ = 0;
+    arbiter_counters counters_;
     std::vector<time_point> leaving_until_;
     std::vector<time_point> added_at_;
     /// Times of the last tables; the first has sequence `first_table_`.
--- a/src/yuccabeam/health/detector_test.cpp
+++ b/src/yuccabeam/health/detector_test.cpp
@@ -41,21 +41,21 @@
     };
     // Upper bounds: 3 s of a target's 30 requests/s. A single failure or a
     // pair must not alarm, hence the lower bounds.
-    for (auto const& [policy, rate, least, most] : std::vector<row>{
+    for (auto const& row : std::vector<row>{
              {ejection_policy::detect_fast, 1.0, 5, 15},
              {ejection_policy::detect_fast, 0.3, 5, 90},
              {ejection_policy::detect_fast, 0.01, 2000000, 2000000},
              {ejection_policy::eject_carefully, 1.0, 5, 15},
              {ejection_policy::eject_carefully, 0.3, 5, 90},
              {ejection_policy::eject_carefully, 0.01, 2000000, 2000000}}) {
-        CAPTURE(rate);
+        CAPTURE(row.rate);
         double sum = 0;
-        auto const runs = rate > 0.1 ? 50U : 1U;
+        auto const runs = row.rate > 0.1 ? 50U : 1U;
         for (std::uint64_t seed = 1; seed <= runs; ++seed)
-            sum +=
-                requests_until_alarm(options_for(policy), rate, 2000000, seed);
-        CHECK(sum / runs >= least);
-        CHECK(sum / runs <= most);
+            sum += requests_until_alarm(options_for(row.policy), row.rate,
+                                        2000000, seed);
+        CHECK(sum / runs >= row.least);
+        CHECK(sum / runs <= row.most);
     }
 }
 
@@ -89,19 +89,23 @@
         std::uint32_t observers;
         bool spread;
     };
-    for (auto const& [callers, faults, other_bad, observers, spread] :
+    for (auto const& row :
          std::vector<row>{{0b111, 0, 5, 2, true},
                           {0b011, 0, 5, 2, false}, // two callers
                           {0b001, 10, 5, 2, true}, // refused
                           {0b111, 0, 0, 2, false}, // one observer's link
                           {0b111, 0, 0, 1, true}}) {
-        CAPTURE(callers);
-        CAPTURE(other_bad);
+        CAPTURE(row.callers);
+        CAPTURE(row.second_observer_bad);
         cusum test;
-        add(test, {1, 0, 10 - other_bad, faults, callers}, {-1, 1}, 99, start);
-        if (other_bad > 0)
-            add(test, {2, 0, other_bad, 0, callers}, {-1, 1}, 99, start);
-        CHECK(is_spread(test, options, observers) == spread);
+        add(test,
+            {1, 0, 10 - row.second_observer_bad, row.connection_faults,
+             row.callers},
+            {-1, 1}, 99, start);
+        if (row.second_observer_bad > 0)
+            add(test, {2, 0, row.second_observer_bad, 0, row.callers}, {-1, 1},
+                99, start);
+        CHECK(is_spread(test, options, row.observers) == row.spread);
     }
 }
 
--- a/src/yuccabeam/health/evidence_merge.cpp
+++ b/src/yuccabeam/health/evidence_merge.cpp
@@ -29,6 +29,7 @@
             deltas[place] = {*target, *kind, added};
     }
     std::vector<evidence_delta> ordered;
+    ordered.reserve(deltas.size());
     for (auto& [place, delta] : deltas)
         ordered.push_back(delta);
     return ordered;
--- a/src/yuccabeam/health/evidence_test.cpp
+++ b/src/yuccabeam/health/evidence_test.cpp
@@ -64,7 +64,7 @@
         std::uint32_t requests;
         std::uint32_t failures;
     };
-    for (auto const& [outcome, requests, failures] :
+    for (auto const& row :
          std::vector<row>{{request_outcome::ok, 1, 0},
                           {request_outcome::refused, 1, 1},
                           {request_outcome::reset, 1, 1},
@@ -75,12 +75,12 @@
                           {request_outcome::shed, 0, 0},
                           {request_outcome::caller_error, 0, 0},
                           {request_outcome::cancelled, 0, 0}}) {
-        CAPTURE(to_string(outcome));
+        CAPTURE(to_string(row.outcome));
         window_counts counts;
-        count(counts, {0, 0, outcome, 10ms, 7}, false);
-        CHECK(counts.requests() == requests);
-        CHECK(counts.failures() == failures);
-        CHECK((counts.failing_callers != 0) == (failures > 0));
+        count(counts, {0, 0, row.outcome, 10ms, 7}, false);
+        CHECK(counts.requests() == row.requests);
+        CHECK(counts.failures() == row.failures);
+        CHECK((counts.failing_callers != 0) == (row.failures > 0));
     }
 }
 
@@ -106,20 +106,20 @@
         std::uint32_t added;
     };
     observer_evidence evidence;
-    for (auto const& [window, age, timeouts, added] :
+    for (auto const& row :
          std::vector<row>{{100, 0, 2, 2},  // new
                           {100, 0, 2, 0},  // repeated
                           {101, 1, 3, 1},  // same window, one more
                           {100, 0, 2, 0},  // older copy
                           {111, 11, 9, 0}, // expired
                           {111, 0, 1, 1}}) {
-        CAPTURE(window);
-        CAPTURE(timeouts);
+        CAPTURE(row.window);
+        CAPTURE(row.timeouts);
         std::uint32_t sum = 0;
-        for (auto const& delta :
-             evidence.take(report_with(window, age, timeouts), topology, 10))
+        for (auto const& delta : evidence.take(
+                 report_with(row.window, row.age, row.timeouts), topology, 10))
             sum += delta.counts.timeout;
-        CHECK(sum == added);
+        CHECK(sum == row.added);
     }
 }
 
--- a/src/yuccabeam/health/service_health_test.cpp
+++ b/src/yuccabeam/health/service_health_test.cpp
@@ -65,10 +65,10 @@
 
 TEST_CASE("fenced tables change nothing") {
     struct row {
-        char const* what;
+        std::string what;
         void (*spoil)(ejection_table&);
     };
-    for (auto const& [what, spoil] : std::vector<row>{
+    for (auto const& row : std::vector<row>{
              {"another receiver", [](auto& t) { t.receiver = "d2"; }},
              {"my earlier incarnation",
               [](auto& t) { t.receiver_incarnation = 6; }},
@@ -82,12 +82,12 @@
                   t.sequence = 9;
               }},
              {"another service", [](auto& t) { t.service = "stock"; }}}) {
-        CAPTURE(what);
+        CAPTURE(row.what);
         observer me;
         auto const report = me.report(start);
         CHECK(me.health.apply(me.table(report.sequence, 5), start));
         auto table = me.ejecting(report.sequence, 6, {"ta"});
-        spoil(table);
+        row.spoil(table);
         CHECK_FALSE(me.health.apply(table, start));
         CHECK(me.state(0, start) == target_state::healthy);
     }
--- a/src/yuccabeam/health/service_state.hpp
+++ b/src/yuccabeam/health/service_state.hpp
@@ -52,10 +52,9 @@
     bool degraded(time_point now) const;
     std::uint32_t healthy_slots(time_point now) const;
 
-    service_topology topology_;
-    local_detector local_;
-
 private:
+    friend class service_health;
+
     bool is_leaving(std::uint32_t target, time_point now) const;
     bool is_ejected(std::uint32_t target, time_point now) const;
     bool runs_trial(std::uint32_t target, time_point now) const;
@@ -74,6 +73,8 @@
     std::string rule_of(target_status const& status,
                         granted_state const& granted) const;
 
+    service_topology topology_;
+    local_detector local_;
     observer_identity self_;
     health_options options_;
     evidence_log log_;
--- /dev/null
+++ b/src/yuccabeam/health/trials.cpp
@@ -0,0 +1,76 @@
+// The re-admission trials that this daemon runs.
+#include "service_state.hpp"
+
+namespace yuccabeam::health {
+
+namespace {
+
+constexpr std::uint32_t slow_trials = 3;
+
+} // namespace
+
+bool service_health::implementation::runs_trial(std::uint32_t target,
+                                                time_point now) const {
+    auto const& granted = grants_.of(target);
+    return (granted.valid_until > now || granted.spared_until > now) &&
+           granted.last.hold_ms == 0 &&
+           granted.last.trial_daemon == self_.id.value &&
+           !trials_[target].failed;
+}
+
+void service_health::implementation::observe_trial(observation const& seen,
+                                                   time_point now) {
+    auto& trial = trials_[seen.target];
+    trial.in_flight = false;
+    auto const slow =
+        seen.outcome == request_outcome::overdue ||
+        (seen.outcome == request_outcome::ok && local_.is_slow(seen));
+    // Answers of healthy targets are heavy-tailed: one slow trial only
+    // starts the row again.
+    if (is_failure(seen.outcome) || (slow && ++trial.slow >= slow_trials))
+        trial.failed = true;
+    else if (slow)
+        trial.good = 0;
+    else if (seen.outcome == request_outcome::ok)
+        ++trial.good;
+    else
+        return; // shed, caller's error or cancelled: no verdict
+    hasten_report(std::max(now, last_report_ + options_.reports.after_failure));
+}
+
+bool service_health::implementation::take_trial(std::uint32_t target,
+                                                time_point now) {
+    if (status(target, now).state != target_state::trial)
+        return false;
+    for (auto& trial : trials_) {
+        if (trial.in_flight &&
+            now - trial.sent_at >= options_.grants.trial_limit)
+            trial.in_flight = false;
+        if (trial.in_flight)
+            return false;
+    }
+    auto& trial = trials_[target];
+    if (trial.good >= options_.grants.good_trials || now < trial.next_at)
+        return false;
+    trial.in_flight = true;
+    trial.sent_at = now;
+    trial.next_at = now + std::chrono::milliseconds(
+                              grants_.of(target).last.trial_interval_ms);
+    return true;
+}
+
+std::optional<std::uint32_t>
+service_health::implementation::wants_probe(time_point now) const {
+    for (auto const& trial : trials_)
+        if (trial.in_flight &&
+            now - trial.sent_at < options_.grants.trial_limit)
+            return std::nullopt;
+    for (std::uint32_t i = 0; i < trials_.size(); ++i)
+        if (runs_trial(i, now) &&
+            trials_[i].good < options_.grants.good_trials &&
+            now - trials_[i].next_at >= options_.grants.probe_after)
+            return i;
+    return std::nullopt;
+}
+
+} // namespace yuccabeam::health
