Require slowness to go on after its first second

A stall of 0.4 s in a healthy target delays a dozen requests at once, and the span was measured from an excursion that could have begun earlier. A score that reaches the threshold within slow_span of its rise is now halved.

--- a/include/yuccabeam/health/detector.hpp
+++ b/include/yuccabeam/health/detector.hpp
@@ -53,7 +53,8 @@
     std::uint32_t bad = 0;
     std::uint32_t connection_faults = 0; ///< refused or reset, within `bad`
     std::uint64_t callers = 0;           ///< bitmap
-    time_point first_bad{};
+    /// When the score last rose above a quarter of its cap.
+    time_point raised_at{};
     time_point last{};
     std::vector<observer_share> observers;
 
--- a/src/yuccabeam/health/detector.cpp
+++ b/src/yuccabeam/health/detector.cpp
@@ -54,11 +54,13 @@
         test.bad = 0;
         test.connection_faults = 0;
         test.callers = 0;
-        test.first_bad = now;
         test.observers.clear();
     }
+    auto const before = test.score;
     test.score += steps.good * batch.good + steps.bad * batch.bad;
     test.score = std::clamp(test.score, 0.0, cap);
+    if (before < cap / 4 && test.score >= cap / 4)
+        test.raised_at = now;
     test.last = now;
     test.requests += batch.good + batch.bad;
     test.bad += batch.bad;
--- a/src/yuccabeam/health/scoreboard.cpp
+++ b/src/yuccabeam/health/scoreboard.cpp
@@ -138,10 +138,19 @@
             test.score = 0;
         health::add(test, batch, steps, threshold_, now);
     };
+    // One stall delays many requests at once. A score that rises to the
+    // threshold too quickly is halved, so that only slowness that goes on
+    // after `slow_span` reaches it again.
+    auto const put_slow = [&](cusum& test) {
+        put(test, slowness, slow_steps);
+        if (test.score >= threshold_ &&
+            now - test.raised_at < options_.slow_span)
+            test.score = threshold_ / 2;
+    };
     put(tests.failures, failures, failure_steps);
-    put(tests.slowness, slowness, slow_steps);
     put(tests.failures_by_kind[delta.kind], failures, failure_steps);
-    put(tests.slowness_by_kind[delta.kind], slowness, slow_steps);
+    put_slow(tests.slowness);
+    put_slow(tests.slowness_by_kind[delta.kind]);
 }
 
 cusum const& scoreboard::test(std::uint32_t target, test_id id) const {
@@ -157,21 +166,19 @@
            looks_bad(target, {true, std::nullopt});
 }
 
-bool scoreboard::is_bad(cusum const& test, bool slowness,
-                        std::uint32_t observers) const {
-    return test.score >= threshold_ && is_spread(test, options_, observers) &&
-           (!slowness || test.last - test.first_bad >= options_.slow_span);
+bool scoreboard::is_bad(cusum const& test, std::uint32_t observers) const {
+    return test.score >= threshold_ && is_spread(test, options_, observers);
 }
 
 std::optional<test_id> scoreboard::crossed(std::uint32_t target,
                                            std::uint32_t observers) const {
     for (auto const slowness : {false, true}) {
         test_id const any{slowness, std::nullopt};
-        if (is_bad(test(target, any), slowness, observers))
+        if (is_bad(test(target, any), observers))
             return any;
         for (std::uint32_t kind = 0; kind < totals_.size(); ++kind) {
             test_id const one{slowness, kind};
-            if (is_bad(test(target, one), slowness, observers))
+            if (is_bad(test(target, one), observers))
                 return one;
         }
     }
--- a/src/yuccabeam/health/scoreboard.hpp
+++ b/src/yuccabeam/health/scoreboard.hpp
@@ -95,8 +95,7 @@
                          bool slowness, std::uint64_t second) const;
     likelihood_steps steps(std::uint32_t target, std::uint32_t kind,
                            bool slowness, std::uint64_t second) const;
-    bool is_bad(cusum const& test, bool slowness,
-                std::uint32_t observers) const;
+    bool is_bad(cusum const& test, std::uint32_t observers) const;
 
     detector_options options_;
     double threshold_;
--- a/src/yuccabeam/health/service_health.cpp
+++ b/src/yuccabeam/health/service_health.cpp
@@ -147,13 +147,9 @@
     auto& cell = log_.at(seen.target, seen.kind, window_of(now));
     count(cell.counts, seen, slow);
     cell.dirty = true;
-    auto const soon = options_.reports.after_failure;
-    if (is_failure(seen.outcome))
-        hasten_report(std::max(now, last_report_ + soon));
-    else if (slow)
-        // Slow answers occur without a fault as well; half the rate of
-        // failure reports keeps their cost low.
-        hasten_report(std::max(now, last_report_ + 2 * soon));
+    if (slow || is_failure(seen.outcome))
+        hasten_report(
+            std::max(now, last_report_ + options_.reports.after_failure));
 }
 
 void service_health::implementation::choose_arbiter(
