--- a/include/yuccabeam/codec/message.hpp
+++ b/include/yuccabeam/codec/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/health/messages.hpp"
 #include "yuccabeam/membership/messages.hpp"
 #include "yuccabeam/values/fault.hpp"
 
@@ -14,9 +15,11 @@
 using bytes = std::vector<std::uint8_t>;
 using bytes_view = std::span<std::uint8_t const>;
 
-/// Any message between daemons over UDP.
+/// Any message between daemons over UDP. New kinds go to the end: the place
+/// of a kind is its number on the wire.
 using message = std::variant<membership::ping, membership::ping_req,
-                             membership::ack, membership::config_announce>;
+                             membership::ack, membership::config_announce,
+                             health::evidence_report, health::ejection_table>;
 
 /// MessagePack array of the message's kind and its fields.
 bytes encode(message const& value);
