--- a/include/yuccabeam/standins/simulated_fleet.hpp
+++ b/include/yuccabeam/standins/simulated_fleet.hpp
@@ -140,8 +140,12 @@
             auto& node = nodes_[next.node];
             if (!node.state || next.life != node.life)
                 continue;
+            // After a pause timers run before the socket is read.
+            bool const timer = std::holds_alternative<wake>(next.what);
             if (now_ < node.paused_until)
-                schedule(node.paused_until, next.node, std::move(next.what));
+                schedule(node.paused_until +
+                             std::chrono::milliseconds(timer ? 0 : 1),
+                         next.node, std::move(next.what));
             else
                 std::visit([&](auto& e) { handle(next.node, e); }, next.what);
         }
--- a/src/yuccabeam/membership/membership_test.cpp
+++ b/src/yuccabeam/membership/membership_test.cpp
@@ -152,11 +152,16 @@
                 died.insert(e.member.id);
             blamed += at == 0 && e.kind == event_kind::suspected;
         });
+        // Long links, so that answers are under way when a pause starts.
+        fleet.set_link([](std::size_t, std::size_t, random_engine&) {
+            return std::vector<duration>{milliseconds(120)};
+        });
         if (stops)
             fleet.stop(0);
-        for (int i = 0; i < 10; ++i) {
+        // The gaps let the local health recover and vary the phase.
+        for (int i = 0; i < 30; ++i) {
             fleet.pause(0, milliseconds(stops ? 0 : 2345));
-            fleet.run_for(seconds(8));
+            fleet.run_for(seconds(20) + milliseconds(37 * i));
         }
         CHECK(died ==
               (stops ? std::set<daemon_id>{{"vm-0"}} : std::set<daemon_id>{}));
