--- a/src/yuccabeam/codec/fields.hpp
+++ b/src/yuccabeam/codec/fields.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/codec/message.hpp"
 
+#include <algorithm>
 #include <array>
 #include <concepts>
 #include <cstdint>
@@ -94,10 +95,10 @@
             take(items->ptr[0], value);
     }
 
-    /// First fault, if there was any.
-    std::optional<message_fault> const& fault() const { return fault_; }
+    bool failed() const { return failed_; }
+    message_fault fault() const { return fault_; } ///< the first one
     void fail(message_fault fault) {
-        if (!fault_)
+        if (!std::exchange(failed_, true))
             fault_ = fault;
     }
 
@@ -158,12 +159,13 @@
     void take(msgpack::object const& from, T& value) {
         reader inner(from);
         describe(inner, value);
-        if (inner.fault())
-            fail(*inner.fault());
+        if (inner.failed())
+            fail(inner.fault());
     }
 
     msgpack::object const* object_;
-    std::optional<message_fault> fault_;
+    message_fault fault_ = message_fault::malformed;
+    bool failed_ = false;
 };
 
 } // namespace yuccabeam::codec
--- a/src/yuccabeam/codec/message.cpp
+++ b/src/yuccabeam/codec/message.cpp
@@ -25,8 +25,8 @@
         std::variant_alternative_t<I, message> value;
         reader fields(body);
         describe(fields, value);
-        if (fields.fault())
-            return *fields.fault();
+        if (fields.failed())
+            return fields.fault();
         return message(std::move(value));
     }
 }
