--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -2,12 +2,13 @@
 #
 # Builds src/yuccabeam/NAME/*.cpp as the library yuccabeam::NAME, and the
 # *_test.cpp files beside the sources as the test program NAME_test. Files
-# named main.cpp or *_main.cpp belong to programs and are left out.
+# named main.cpp, *_main.cpp or *_bench.cpp belong to programs and are left
+# out.
 function(yuccabeam_module name)
     cmake_parse_arguments(arg "" "" "LIBRARIES;TEST_LIBRARIES" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS *.cpp)
     set(tests ${sources})
-    list(FILTER sources EXCLUDE REGEX "(_test|main)\\.cpp$")
+    list(FILTER sources EXCLUDE REGEX "(_test|_bench|main)\\.cpp$")
     list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
 
     if(sources)
--- /dev/null
+++ b/include/yuccabeam/retry/key_claim.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "yuccabeam/values/ids.hpp"
+#include "yuccabeam/values/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace yuccabeam::retry {
+
+/// Store key of a free idempotency key: `key/` and the SHA-256 of account
+/// and key, so that accounts can't meet each other's keys.
+std::string claim_key(account_id const& account, std::string_view key);
+
+/// Events.
+struct claim_created {};
+struct claim_exists {
+    std::string value; ///< stored value; empty when the store didn't say
+};
+struct claim_no_reply {}; ///< timeout or broken connection
+struct claim_refused {};  ///< the store declined; nothing was written
+struct read_reply {
+    std::optional<std::string> value; ///< none: the key is absent
+};
+struct read_failed {};
+struct run_ended {
+    bool not_run = false; ///< provably not run
+};
+struct delete_confirmed {};
+struct delete_failed {}; ///< no reply, or the claim was not ours any more
+
+using claim_event = std::variant<claim_created, claim_exists, claim_no_reply,
+                                 claim_refused, read_reply, read_failed,
+                                 run_ended, delete_confirmed, delete_failed>;
+
+enum class claim_action : std::uint8_t {
+    none,
+    read_back,    ///< read the claim's key
+    run,          ///< send the request; check `may_send` just before
+    delete_claim, ///< delete if the stored value is still `value()`
+    answer_not_run,
+    answer_conflict, ///< 409 unknown: another request holds the key
+    answer_unknown   ///< 503 unknown, with a ticket
+};
+
+struct claim_options {
+    duration lease = std::chrono::minutes(15);
+    /// Kept free at the end of the lease, for clock drift and delivery.
+    duration margin = std::chrono::seconds(30);
+};
+
+/// Claim of a free idempotency key in the store, which the calling code has
+/// just sent as create-if-absent with `value()` and the lease.
+///
+/// @code
+/// key_claim claim(unique_value, now);
+/// store.create(claim_key(account, key), claim.value(), lease, ...);
+/// // then for each reply: switch (claim.on(event, now)) ...
+/// @endcode
+class key_claim {
+public:
+    /// @param value    differs from all other claims': daemon, incarnation
+    ///                 and a counter
+    /// @param sent_at  time before the create was sent
+    key_claim(std::string value, time_point sent_at,
+              claim_options options = {});
+
+    /// Takes an event; one that doesn't fit the state changes nothing.
+    claim_action on(claim_event const& event, time_point now);
+
+    std::string const& value() const { return value_; }
+
+    /// True while the claim certainly holds until `run_deadline`. A daemon
+    /// that was paused past the lease must not send.
+    bool may_send(time_point now, time_point run_deadline) const;
+
+private:
+    enum class step : std::uint8_t {
+        creating,
+        reading,
+        running,
+        deleting,
+        ended
+    };
+
+    claim_action on_create_reply(claim_event const& event, time_point now);
+    claim_action on_read_reply(claim_event const& event, time_point now);
+    claim_action run_or_give_up(time_point now);
+    claim_action end_with(claim_action action);
+
+    std::string value_;
+    time_point holds_until_;
+    step step_ = step::creating;
+};
+
+struct claim_rate_options {
+    double fleet_claims_per_second = 150.0;
+};
+
+/// This daemon's equal share of the fleet's claim rate, as a token bucket
+/// that holds one second's share, at least one token. It starts empty, so
+/// that restarting daemons don't burst.
+class claim_rate {
+public:
+    claim_rate(std::size_t daemons, time_point now,
+               claim_rate_options options = {});
+
+    /// Number of live daemons, by VM list and membership together.
+    void set_daemons(std::size_t daemons, time_point now);
+
+    /// Takes a token; false when the share is used up.
+    bool take(time_point now);
+
+private:
+    void refill(time_point now);
+
+    claim_rate_options options_;
+    double per_second_;
+    double tokens_ = 0.0;
+    time_point filled_at_;
+};
+
+} // namespace yuccabeam::retry
--- /dev/null
+++ b/src/yuccabeam/limits/admission_queue_test.cpp
@@ -0,0 +1,246 @@
+#include "yuccabeam/limits/admission_queue.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <rapidcheck.h>
+
+namespace yuccabeam::limits {
+namespace {
+
+using namespace std::chrono_literals;
+using enum priority;
+
+constexpr time_point start{};
+
+queue_entry entry(entry_id id, std::string account, priority level = normal,
+                  std::uint32_t weight = 1) {
+    return {id, {std::move(account)}, weight, level, start + 1h, 1ms};
+}
+
+std::vector<entry_id> dispatched(std::vector<queue_action> const& actions) {
+    std::vector<entry_id> out;
+    for (auto const& action : actions)
+        if (auto const* run = std::get_if<dispatch_entry>(&action))
+            out.push_back(run->id);
+    return out;
+}
+
+/// Checks the queue against the set of entries that should be in it.
+class checked_queue {
+public:
+    explicit checked_queue(queue_options const& options)
+        : options_(options), queue_(options) {}
+
+    void push(queue_entry const& entry, time_point now) {
+        live_.emplace(entry.id, entry);
+        settle(queue_.push(entry, now), now, 0);
+        RC_ASSERT(live_.size() <= options_.capacity);
+    }
+
+    void take(std::size_t slots, time_point now) {
+        settle(queue_.take(slots, now), now, slots);
+        for (auto const& [id, entry] : live_)
+            RC_ASSERT(now + entry.service_time <= entry.deadline);
+    }
+
+    void cancel(entry_id id) {
+        RC_ASSERT(queue_.cancel(id) == (live_.erase(id) == 1));
+        RC_ASSERT(queue_.size() == live_.size());
+    }
+
+    std::optional<time_point> next_drop() const { return queue_.next_drop(); }
+    bool empty() const { return live_.empty(); }
+
+private:
+    void settle(std::vector<queue_action> const& actions, time_point now,
+                std::size_t slots) {
+        std::size_t runs = 0;
+        for (auto const& action : actions) {
+            auto const id =
+                std::visit([](auto const& a) { return a.id; }, action);
+            auto const found = live_.find(id);
+            RC_ASSERT(found != live_.end());
+            auto const& entry = found->second;
+            bool const late = now + entry.service_time > entry.deadline ||
+                              now >= entry.deadline;
+            if (auto const* drop = std::get_if<drop_entry>(&action)) {
+                bool const full = drop->reason == drop_reason::queue_full;
+                RC_ASSERT((full ? live_.size() > options_.capacity : late));
+            } else {
+                ++runs;
+                RC_ASSERT(!late);
+            }
+            live_.erase(found);
+        }
+        RC_ASSERT(runs == slots || live_.empty());
+        RC_ASSERT(runs <= slots);
+        RC_ASSERT(queue_.size() == live_.size());
+    }
+
+    queue_options options_;
+    admission_queue queue_;
+    std::map<entry_id, queue_entry> live_;
+};
+
+// Guards against lost, duplicated and late entries, idle slots beside a
+// queue, and a queue that grows without bound.
+TEST_CASE("each entry leaves the queue once and in time") {
+    CHECK(rc::check([](std::uint64_t seed) {
+        std::mt19937_64 random(seed);
+        auto const below = [&](std::uint64_t n) { return random() % n; };
+        queue_options options;
+        options.capacity = 1 + below(12);
+        checked_queue queue(options);
+        auto now = start;
+        for (entry_id id = 1; id < 300; ++id) {
+            now += std::chrono::milliseconds(below(15));
+            switch (below(8)) {
+            case 0:
+                queue.take(below(4), now);
+                break;
+            case 1:
+                queue.cancel(id - below(std::min<entry_id>(id, 10)));
+                break;
+            case 2:
+                if (auto const drop = queue.next_drop()) {
+                    now = std::max(now, *drop);
+                    queue.take(0, now);
+                    RC_ASSERT(!queue.next_drop() || *queue.next_drop() > now);
+                }
+                break;
+            default:
+                queue.push({id,
+                            {std::to_string(below(4))},
+                            static_cast<std::uint32_t>(below(4)),
+                            static_cast<priority>(below(3)),
+                            now + std::chrono::milliseconds(below(400)),
+                            std::chrono::milliseconds(below(60))},
+                           now);
+            }
+        }
+        queue.take(1'000, now);
+        RC_ASSERT(queue.empty());
+    }));
+}
+
+// Guards against lower priorities that starve behind a flood, and against
+// lower ones that take more than their guaranteed share.
+TEST_CASE("backlogged priorities get their shares") {
+    struct row {
+        std::vector<priority> waiting;
+        std::vector<std::size_t> of_thousand;
+    };
+    row const rows[] = {
+        {{interactive, normal, bulk}, {850, 100, 50}},
+        {{interactive, bulk}, {950, 0, 50}},
+        {{normal, bulk}, {0, 950, 50}},
+        {{interactive, normal}, {900, 100, 0}},
+    };
+    for (auto const& row : rows) {
+        queue_options options;
+        options.capacity = 5'000;
+        admission_queue queue(options);
+        for (entry_id i = 0; i < 1'000; ++i)
+            for (auto const level : row.waiting)
+                queue.push(
+                    entry(i * 3 + static_cast<entry_id>(level), "a", level),
+                    start);
+        std::vector<std::size_t> counts(3);
+        for (auto const id : dispatched(queue.take(1'000, start)))
+            ++counts[id % 3];
+        // Each lower priority may still be owed one dispatch, which the
+        // highest one has had.
+        auto const top = static_cast<std::size_t>(row.waiting.front());
+        std::size_t owed = 0;
+        for (std::size_t i = top + 1; i < 3; ++i) {
+            CHECK(counts[i] <= row.of_thousand[i]);
+            CHECK(counts[i] + 1 >= row.of_thousand[i]);
+            owed += row.of_thousand[i] - counts[i];
+        }
+        CHECK(counts[top] == row.of_thousand[top] + owed);
+    }
+}
+
+// Guards against an account that waits behind the backlog of another one.
+TEST_CASE("in each round every account is served by its weight") {
+    CHECK(rc::check([] {
+        auto const weights =
+            *rc::gen::nonEmpty(rc::gen::container<std::vector<std::uint32_t>>(
+                rc::gen::inRange(1U, 6U)));
+        RC_PRE(weights.size() < 10U);
+        auto const level = *rc::gen::element(interactive, normal, bulk);
+        admission_queue queue;
+        std::size_t round = 0;
+        for (std::size_t a = 0; a < weights.size(); ++a) {
+            round += weights[a];
+            auto const backlog = 3 * weights[a] + *rc::gen::inRange(0U, 20U);
+            for (std::size_t i = 0; i < backlog; ++i)
+                queue.push(
+                    entry(i * 10 + a, std::to_string(a), level, weights[a]),
+                    start);
+        }
+        for (int r = 0; r < 3; ++r) {
+            std::vector<std::uint32_t> served(weights.size());
+            for (auto const id : dispatched(queue.take(round, start + 1s)))
+                ++served[id % 10];
+            RC_ASSERT(served == weights);
+        }
+    }));
+}
+
+// Guards against metastable collapse: under overload work is spent on
+// entries that still have time, in calm order of arrival is kept.
+TEST_CASE("interactive entries are newest first under overload only") {
+    struct row {
+        priority level;
+        duration wait;
+        std::vector<entry_id> order;
+    };
+    row const rows[] = {{interactive, 99ms, {1, 2, 3}},
+                        {interactive, 100ms, {3, 2, 1}},
+                        {normal, 1s, {1, 2, 3}},
+                        {bulk, 1s, {1, 2, 3}}};
+    for (auto const& row : rows) {
+        admission_queue queue;
+        for (entry_id id = 1; id <= 3; ++id)
+            queue.push(entry(id, "a", row.level), start);
+        CHECK(queue.overloaded(start + row.wait) == (row.wait >= 100ms));
+        CHECK(dispatched(queue.take(3, start + row.wait)) == row.order);
+        CHECK_FALSE(queue.overloaded(start + 1h));
+    }
+}
+
+// Guards against a flood that keeps quiet accounts and lower priorities out
+// of a full queue.
+TEST_CASE("a full queue drops from the account that fills it") {
+    struct row {
+        char const* name;
+        priority flood;
+        queue_entry arriving;
+        entry_id dropped;
+    };
+    row const rows[] = {
+        {"flooder itself", normal, entry(99, "flood"), 99},
+        {"quiet account", normal, entry(99, "quiet"), 18},
+        {"higher priority", normal, entry(99, "quiet", interactive), 18},
+        {"lower priority within its share", interactive,
+         entry(99, "quiet", bulk), 18},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.name);
+        queue_options options;
+        options.capacity = 20;
+        admission_queue queue(options);
+        for (entry_id id = 0; id < 19; ++id)
+            queue.push(entry(id, "flood", row.flood), start);
+        queue.push(entry(50, "other", row.flood), start);
+        auto const actions = queue.push(row.arriving, start);
+        CHECK(actions == std::vector<queue_action>{
+                             drop_entry{row.dropped, drop_reason::queue_full}});
+    }
+}
+
+} // namespace
+} // namespace yuccabeam::limits
