--- a/src/yuccabeam/health/service_health.cpp
+++ b/src/yuccabeam/health/service_health.cpp
@@ -5,6 +5,12 @@
 
 namespace yuccabeam::health {
 
+namespace {
+
+constexpr std::uint32_t slow_trials = 3;
+
+} // namespace
+
 service_health::implementation::implementation(observer_identity self,
                                                service_topology topology,
                                                health_options options,
@@ -78,8 +84,11 @@
                 next_change::end_of_leaving};
     if (runs_trial(target, now) &&
         (is_ejected(target, now) || granted.spared_until > now))
-        return {target_state::trial, 0, state_reason::granted, granted.since,
-                next_change::trials};
+        return {target_state::trial, 0,
+                is_ejected(target, now) ? state_reason::granted
+                : granted.lost          ? state_reason::domain_lost
+                                        : state_reason::budget,
+                granted.since, next_change::trials};
     if (is_ejected(target, now))
         return {target_state::ejected, 0, state_reason::granted, granted.since,
                 granted.last.hold_ms > 0 ? next_change::hold_end
@@ -169,8 +178,12 @@
     auto const slow =
         seen.outcome == request_outcome::overdue ||
         (seen.outcome == request_outcome::ok && local_.is_slow(seen));
-    if (is_failure(seen.outcome) || slow)
+    // Answers of healthy targets are heavy-tailed: one slow trial only
+    // starts the row again.
+    if (is_failure(seen.outcome) || (slow && ++trial.slow >= slow_trials))
         trial.failed = true;
+    else if (slow)
+        trial.good = 0;
     else if (seen.outcome == request_outcome::ok)
         ++trial.good;
     else
@@ -280,10 +293,11 @@
     if (leaving_until_[target] <= now)
         leaving_since_[target] = now;
     leaving_until_[target] = now + options_.reports.leaving_time;
+    if (known)
+        return;
     check_floor(now);
-    if (!known)
-        hasten_report(
-            std::max(now, last_report_ + options_.reports.after_failure));
+    hasten_report(
+        std::max(now, last_report_ + options_.reports.after_failure));
 }
 
 void service_health::implementation::clear_leaving(std::uint32_t target,
