Measure when a faulty target is first left alone

Cause: the time to the last request is dominated by later single requests, such as those of daemons outside an ejection's scope, and hides how soon the fleet first stops using the target.

Change: quiet_p50_s and quiet_p99_s give the time from the fault to the start of the first 2 s without requests, trials aside.

--- a/src/yuccabeam/bench/policy_main.cpp
+++ b/src/yuccabeam/bench/policy_main.cpp
@@ -104,6 +104,16 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
+/// Null where a scenario has no faulty target.
+void add_quantiles(nlohmann::ordered_json& out, std::string const& name,
+                   std::vector<double>& values) {
+    std::sort(values.begin(), values.end());
+    for (auto const& [suffix, q] : {std::pair("_p50_s", 0.5), {"_p99_s", 0.99}})
+        out[name + suffix] = values.empty()
+                                 ? nlohmann::ordered_json(nullptr)
+                                 : nlohmann::ordered_json(quantile(values, q));
+}
+
 nlohmann::ordered_json line_of(std::span<job const> runs) {
     measurement sum;
     job const* tightest = &runs.front();
@@ -114,6 +124,8 @@
         auto const& one = run.result;
         sum.detection_s.insert(sum.detection_s.end(), one.detection_s.begin(),
                                one.detection_s.end());
+        sum.quiet_s.insert(sum.quiet_s.end(), one.quiet_s.begin(),
+                           one.quiet_s.end());
         sum.calls += one.calls;
         sum.successes += one.successes;
         sum.attempts += one.attempts;
@@ -129,7 +141,6 @@
         if (margin(run) < margin(*tightest))
             tightest = &run;
     }
-    std::sort(sum.detection_s.begin(), sum.detection_s.end());
     nlohmann::ordered_json out;
     auto const& first = runs.front();
     out["scenario"] = first.what->name;
@@ -139,13 +150,8 @@
     out["runs"] = runs.size();
     out["load"] = first.options.load;
     out["message_loss"] = first.options.message_loss;
-    if (sum.detection_s.empty()) {
-        out["detection_p50_s"] = nullptr;
-        out["detection_p99_s"] = nullptr;
-    } else {
-        out["detection_p50_s"] = quantile(sum.detection_s, 0.5);
-        out["detection_p99_s"] = quantile(sum.detection_s, 0.99);
-    }
+    add_quantiles(out, "detection", sum.detection_s);
+    add_quantiles(out, "quiet", sum.quiet_s);
     out["fault_share"] = ratio(sum.at_faulty, sum.during_fault);
     out["false_ejections"] = sum.false_ejections;
     out["false_ejections_per_target_day"] =
--- a/src/yuccabeam/bench/policy_world.cpp
+++ b/src/yuccabeam/bench/policy_world.cpp
@@ -11,6 +11,8 @@
 constexpr std::uint64_t accounts = 200;
 constexpr double cold_factor_at_start = 5;
 constexpr duration cold_time = std::chrono::seconds(30);
+/// A target without requests for this long counts as left.
+constexpr duration quiet_time = std::chrono::seconds(2);
 /// An ejection that outlasts its fault by this much is not a false one.
 constexpr duration return_time = std::chrono::minutes(6);
 
@@ -145,7 +147,12 @@
         result_.during_fault += std::ranges::any_of(targets, has_fault);
         if (is_faulty(target, daemon) && !trial) {
             ++result_.at_faulty;
-            last_at_faulty_[target] = now_;
+            auto& last =
+                last_at_faulty_.try_emplace(target, fault_start_[target])
+                    .first->second;
+            if (now_ - last >= quiet_time)
+                quiet_from_.try_emplace(target, last);
+            last = now_;
         }
     }
     auto const id =
@@ -320,11 +327,11 @@
 
 measurement world::finish() {
     for (auto const& [target, start] : fault_start_) {
-        auto const last = last_at_faulty_.find(target);
-        result_.detection_s.push_back(
-            last == last_at_faulty_.end()
-                ? 0
-                : std::max(0.0, to_seconds(last->second - start)));
+        auto const last =
+            last_at_faulty_.try_emplace(target, start).first->second;
+        auto const quiet = quiet_from_.try_emplace(target, last).first->second;
+        result_.detection_s.push_back(to_seconds(last - start));
+        result_.quiet_s.push_back(to_seconds(quiet - start));
     }
     result_.target_days = to_seconds(now_ - measured_from_) / 86'400 *
                           static_cast<double>(targets.size());
--- a/src/yuccabeam/bench/policy_world.hpp
+++ b/src/yuccabeam/bench/policy_world.hpp
@@ -117,7 +117,8 @@
 
 /// What one run measures, from the first fault on.
 struct measurement {
-    std::vector<double> detection_s;
+    std::vector<double> detection_s; ///< to the last request during the fault
+    std::vector<double> quiet_s;     ///< to the first 2 s without requests
     std::uint64_t calls = 0, successes = 0, attempts = 0;
     std::uint64_t at_faulty = 0; ///< attempts at faulty targets, no trials
     std::uint64_t during_fault = 0;
@@ -222,6 +223,7 @@
     time_point recovered_from_{};
     std::map<std::uint32_t, time_point> fault_start_;
     std::map<std::uint32_t, time_point> last_at_faulty_;
+    std::map<std::uint32_t, time_point> quiet_from_;
     std::vector<time_point> healthy_since_;
     std::vector<bool> was_ejected_;
     bool below_floor_ = false;
--- a/src/yuccabeam/bench/policy_world_test.cpp
+++ b/src/yuccabeam/bench/policy_world_test.cpp
@@ -76,6 +76,7 @@
         run_policy<fixed_node<0, 0>>(small_service(1), short_run(crash_first));
     REQUIRE(seen.detection_s.size() == 1);
     CHECK(seen.detection_s[0] > 4.9);
+    CHECK(seen.quiet_s[0] > 4.9);
     CHECK(seen.at_faulty == seen.during_fault);
     CHECK(seen.successes < seen.calls);
     auto const away =
