--- a/src/yuccabeam/bench/control_bench.cpp
+++ b/src/yuccabeam/bench/control_bench.cpp
@@ -6,6 +6,7 @@
 #include "yuccabeam/standins/simulated_fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <ctime>
 #include <gflags/gflags.h>
@@ -54,7 +55,7 @@
             return -1;
         std::sort(seconds.begin(), seconds.end());
         auto const last = static_cast<double>(seconds.size() - 1);
-        return seconds[static_cast<std::size_t>(share * last + 0.5)];
+        return seconds[static_cast<std::size_t>(std::lround(share * last))];
     }
 };
 
