Add configuration storage, publishing, replicas and readiness

Cause: an accepted edit must come into force once and never be lost, with a store whose replies get lost and two operators at work. Change: items in a Merkle tree of 4 KiB leaves; a publisher over a store concept that repeats only the identical compare-and-swap and otherwise looks the edit id up in the manifest chain; settle, which fences a late write by writing the head again; a replica that applies only higher, complete and hash-checked revisions; readiness after start and when isolated.

--- a/include/yuccabeam/config/publish.hpp
+++ b/include/yuccabeam/config/publish.hpp
@@ -1,62 +1,47 @@
 #pragma once
 
 #include "yuccabeam/config/edit.hpp"
-#include "yuccabeam/config/tree.hpp"
-#include "yuccabeam/values/fault.hpp"
+#include "yuccabeam/config/store.hpp"
 
-#include <concepts>
-#include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
 namespace yuccabeam::config {
 
-struct versioned_value {
-    std::string value;
-    std::uint64_t version = 0; ///< a store never uses a version twice
-};
-
-enum class write_outcome {
-    done,
-    conflict,       ///< the key has another version
-    unknown_effect, ///< the write may or may not have taken effect
-    unreachable     ///< the write has not taken effect
-};
-
-/// Key-value service as publishing uses it.
-template <class Store>
-concept store = requires(Store& store, std::string const& key,
-                         std::string const& value, std::uint64_t version) {
-    { store.read(key) } -> std::same_as<result<std::optional<versioned_value>>>;
-    /// Creates the key if it is absent.
-    { store.create(key, value) } -> std::same_as<write_outcome>;
-    /// Replaces the value if the key has this version.
-    { store.replace(key, value, version) } -> std::same_as<write_outcome>;
-};
-
 /// The edit is in force from this revision on.
 struct published {
     head accepted;
+
     bool operator==(published const&) const = default;
 };
+
 /// Everything already is as the edit wants it; nothing was written.
 struct unchanged {
     yuccabeam::revision revision = 0;
+
     bool operator==(unchanged const&) const = default;
 };
+
+/// Another operator changed the same items. Nothing is in force.
 struct conflicted {
     yuccabeam::revision revision = 0;
     std::vector<conflict> conflicts;
 };
+
+/// The result would contradict itself. Nothing is in force.
 struct invalid {
     std::vector<json_fault> faults;
 };
-/// The edit may or may not be in force, now or later; `settle` finds out.
+
+/// The edit may be in force, now or later; `settle` finds out.
 struct unknown {
     std::string message;
 };
+
 /// The edit is not in force and will not be.
 struct not_published {
     fault reason;
@@ -68,28 +53,177 @@
 struct publish_options {
     /// Tries against a head that other operators move.
     int rebases = 16;
-    /// Tries of one step whose reply was lost.
+    /// Tries of one write whose reply was lost.
     int repeats = 4;
 };
 
-/// A configuration as the store holds it.
-struct stored_configuration {
-    yuccabeam::config::head head; ///< revision 0: nothing accepted yet
-    std::uint64_t head_version = 0;
-    yuccabeam::config::manifest manifest;
-    item_map items;
-    chunk_map chunks; ///< of the tree, for comparison and as a cache
+/// Manifest and tree of the revision that an edit makes.
+struct prepared {
+    head next;
+    chunk_map chunks; ///< those that the current revision does not have
 };
 
-struct stored_head {
-    yuccabeam::config::head head;
-    std::uint64_t version = 0;
+/// Builds the revision after `current`.
+prepared prepare(stored_configuration const& current, item_map const& items,
+                 edit const& edit);
+
+/// Brings one edit into force.
+///
+/// A repeated compare-and-swap names the same version and the same value, so
+/// at most one of the repetitions takes effect. Once the head has another
+/// version, none of them can take effect any more, and the manifest chain
+/// tells whether one did. Only then is the edit rebased and written again.
+template <store Store>
+class publisher {
+public:
+    publisher(Store& store, publish_options options, chunk_map& cache)
+        : store_(&store), options_(options), cache_(&cache) {}
+
+    publish_outcome run(edit const& edit) {
+        for (int i = 0; i < options_.rebases; ++i)
+            if (auto outcome = try_on_newest(edit))
+                return *std::move(outcome);
+        return stop(make_fault(fault_code::conflict,
+                               "other operators changed the configuration at "
+                               "each of " +
+                                   std::to_string(options_.rebases) +
+                                   " tries"));
+    }
+
+private:
+    using maybe_outcome = std::optional<publish_outcome>;
+
+    publish_outcome stop(fault reason) const {
+        if (in_doubt_)
+            return unknown{std::move(reason.message)};
+        return not_published{std::move(reason)};
+    }
+
+    /// Empty when the head moved and the edit has to be rebased.
+    maybe_outcome try_on_newest(edit const& edit) {
+        auto const base = base_of_edit_id(edit.id);
+        if (!base)
+            return not_published{make_fault(fault_code::invalid_input,
+                                            "the edit has no valid id")};
+        auto const head = read_head(*store_);
+        if (!head)
+            return stop(head.error());
+        auto const found =
+            find_edit(*store_, head.value().value, edit.id, *base, *cache_);
+        if (!found)
+            return stop(found.error());
+        if (found.value())
+            return published{*found.value()};
+        in_doubt_ = false;
+        auto const current = read_configuration(*store_, head.value(), *cache_);
+        if (!current)
+            return stop(current.error());
+        return apply(edit, current.value());
+    }
+
+    maybe_outcome apply(edit const& edit, stored_configuration const& current) {
+        auto next = rebase(current.items, edit);
+        auto const revision = current.head.value.revision;
+        if (!next.conflicts.empty())
+            return conflicted{revision, std::move(next.conflicts)};
+        if (next.items == current.items)
+            return unchanged{revision};
+        if (auto faults = check(next.items); !faults.empty())
+            return invalid{std::move(faults)};
+        auto const prepared = prepare(current, next.items, edit);
+        // What the replicas could not read must not be accepted.
+        for (auto const& [hash, text] : prepared.chunks)
+            if (auto const read = parse_chunk(text); !read)
+                return not_published{read.error()};
+        for (auto const& [hash, text] : prepared.chunks)
+            if (!write_chunk(hash, text))
+                return stop(make_fault(fault_code::unreachable,
+                                       "the store takes no chunks"));
+        return swap_head(prepared.next, current.head.version);
+    }
+
+    bool write_chunk(chunk_hash const& hash, std::string const& text) {
+        for (int i = 0; i < options_.repeats; ++i) {
+            switch (store_->create(chunk_key(hash), text)) {
+            case write_outcome::done:
+            case write_outcome::conflict: // the same content by construction
+                cache_->emplace(hash, text);
+                return true;
+            case write_outcome::unknown_effect:
+            case write_outcome::unreachable:
+                break;
+            }
+        }
+        return false;
+    }
+
+    maybe_outcome swap_head(head const& next, std::uint64_t version) {
+        auto const key = std::string(head_key);
+        auto const value = text_of(next);
+        for (int i = 0; i < options_.repeats; ++i) {
+            auto const outcome = version == 0
+                                     ? store_->create(key, value)
+                                     : store_->replace(key, value, version);
+            if (outcome == write_outcome::done)
+                return published{next};
+            if (outcome == write_outcome::conflict)
+                return std::nullopt;
+            if (outcome == write_outcome::unknown_effect)
+                in_doubt_ = true;
+        }
+        return stop(
+            make_fault(fault_code::unreachable, "the store does not answer"));
+    }
+
+    Store* store_;
+    publish_options options_;
+    chunk_map* cache_;
+    /// A compare-and-swap of this edit may have taken effect unnoticed.
+    bool in_doubt_ = false;
 };
 
-/// Whether an edit was accepted.
+/// Brings one edit into force; see `publisher`. The edit's id has to be new.
+template <store Store>
+publish_outcome publish(Store& store, edit const& edit, chunk_map& cache,
+                        publish_options const& options = {}) {
+    return publisher<Store>(store, options, cache).run(edit);
+}
+
+/// Answer about an edit whose outcome was unknown.
 struct settled {
-    std::optional<revision> accepted; ///< empty: never was, never will be
-    yuccabeam::revision head = 0;
+    std::optional<head> accepted; ///< empty: not in force, and never will be
+    revision newest = 0;          ///< revision up to which the answer was found
 };
 
+/// Finds out whether an edit was accepted, after its publisher has stopped.
+///
+/// When the chain does not have the edit, its compare-and-swap may still be
+/// on the way. Writing the head again with the same value changes its
+/// version, after which that compare-and-swap can't take effect.
+template <store Store>
+result<settled> settle(Store& store, std::string_view edit_id, chunk_map& cache,
+                       publish_options const& options = {}) {
+    auto const base = base_of_edit_id(edit_id);
+    if (!base)
+        return make_fault(fault_code::invalid_input,
+                          std::string(edit_id) + " is not the id of an edit");
+    for (int i = 0; i < options.repeats; ++i) {
+        auto const head = read_head(store);
+        if (!head)
+            return head.error();
+        auto const& [value, version] = head.value();
+        auto const found = find_edit(store, value, edit_id, *base, cache);
+        if (!found)
+            return found.error();
+        if (found.value())
+            return settled{found.value(), value.revision};
+        if (version != 0 && store.replace(std::string(head_key), text_of(value),
+                                          version) == write_outcome::done)
+            return settled{std::nullopt, value.revision};
+    }
+    return make_fault(fault_code::unknown_effect,
+                      "the edit is not accepted yet, but its write may still "
+                      "be on the way");
+}
+
 } // namespace yuccabeam::config
--- a/include/yuccabeam/config/replica.hpp
+++ b/include/yuccabeam/config/replica.hpp
@@ -38,10 +38,11 @@
     std::vector<chunk_hash> missing(std::size_t limit = SIZE_MAX) const;
 
     enum class offer_outcome {
-        wanted,    ///< stored; more chunks are missing
-        applied,   ///< stored, and the revision is complete and in force
-        unwanted,  ///< not asked for (any more)
-        wrong_hash ///< the text is not the chunk
+        wanted,     ///< stored; more chunks are missing
+        applied,    ///< stored, and the revision is complete and in force
+        unwanted,   ///< not asked for (any more)
+        wrong_hash, ///< the text is not the chunk
+        unreadable  ///< the revision can't be read and is given up
     };
     offer_outcome offer(chunk_hash const& hash, std::string text);
 
@@ -67,8 +68,7 @@
     void start_highest();
     bool want(chunk_hash const& hash);
     bool expand(chunk_hash const& hash);
-    bool apply_pending();
-    void reject_highest();
+    void apply_pending();
 
     snapshot_ptr current_;
     head applied_;
