--- a/include/yuccabeam/config/publish.hpp
+++ b/include/yuccabeam/config/publish.hpp
@@ -3,6 +3,7 @@
 #include "yuccabeam/config/edit.hpp"
 #include "yuccabeam/config/store.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -94,7 +95,7 @@
     using maybe_outcome = std::optional<publish_outcome>;
 
     publish_outcome stop(fault reason) const {
-        if (in_doubt_)
+        if (doubted_version_)
             return unknown{std::move(reason.message)};
         return not_published{std::move(reason)};
     }
@@ -108,13 +109,17 @@
         auto const head = read_head(*store_);
         if (!head)
             return stop(head.error());
+        // The compare-and-swap in doubt met another version, so this head
+        // comes from a replica of the store that lags.
+        if (doubted_version_ && head.value().version <= *doubted_version_)
+            return std::nullopt;
         auto const found =
             find_edit(*store_, head.value().value, edit.id, *base, *cache_);
         if (!found)
             return stop(found.error());
         if (found.value())
             return published{*found.value()};
-        in_doubt_ = false;
+        doubted_version_.reset();
         auto const current = read_configuration(*store_, head.value(), *cache_);
         if (!current)
             return stop(current.error());
@@ -139,7 +144,7 @@
             if (!write_chunk(hash, text))
                 return stop(make_fault(fault_code::unreachable,
                                        "the store takes no chunks"));
-        return swap_head(prepared.next, current.head.version);
+        return swap_head(edit, prepared.next, current.head.version);
     }
 
     bool write_chunk(chunk_hash const& hash, std::string const& text) {
@@ -157,7 +162,8 @@
         return false;
     }
 
-    maybe_outcome swap_head(head const& next, std::uint64_t version) {
+    maybe_outcome swap_head(edit const& edit, head const& next,
+                            std::uint64_t version) {
         auto const key = std::string(head_key);
         auto const value = text_of(next);
         for (int i = 0; i < options_.repeats; ++i) {
@@ -169,17 +175,33 @@
             if (outcome == write_outcome::conflict)
                 return std::nullopt;
             if (outcome == write_outcome::unknown_effect)
-                in_doubt_ = true;
+                doubted_version_ = version;
         }
-        return stop(
-            make_fault(fault_code::unreachable, "the store does not answer"));
+        return look_up(edit);
+    }
+
+    /// Last look at the chain when no reply came to any repetition.
+    publish_outcome look_up(edit const& edit) {
+        auto const silent = make_fault(fault_code::unreachable,
+                                       "the store does not answer writes");
+        if (!doubted_version_)
+            return stop(silent);
+        auto const head = read_head(*store_);
+        if (!head)
+            return stop(silent);
+        auto const found = find_edit(*store_, head.value().value, edit.id,
+                                     *base_of_edit_id(edit.id), *cache_);
+        if (found && found.value())
+            return published{*found.value()};
+        return stop(silent);
     }
 
     Store* store_;
     publish_options options_;
     chunk_map* cache_;
-    /// A compare-and-swap of this edit may have taken effect unnoticed.
-    bool in_doubt_ = false;
+    /// The compare-and-swap against this version may have taken effect
+    /// unnoticed.
+    std::optional<std::uint64_t> doubted_version_;
 };
 
 /// Brings one edit into force; see `publisher`. The edit's id has to be new.
--- a/include/yuccabeam/config/tree.hpp
+++ b/include/yuccabeam/config/tree.hpp
@@ -15,9 +15,9 @@
 namespace yuccabeam::config {
 
 /// Target size of a leaf. A change writes one leaf and the inner nodes above
-/// it; with 4 KiB one change in two years' configuration (137,000 items)
+/// it; with 8 KiB one change in two years' configuration (137,000 items)
 /// costs each daemon a few KiB, which 2 KB/s of control traffic can carry.
-inline constexpr std::size_t leaf_bytes = 4096;
+inline constexpr std::size_t leaf_bytes = 8192;
 
 /// Chunk texts by hash.
 using chunk_map = std::map<chunk_hash, std::string>;
--- a/include/yuccabeam/ctl/commands.hpp
+++ b/include/yuccabeam/ctl/commands.hpp
@@ -16,12 +16,18 @@
     config::item_map items;
     bool has_register = false;
     bool has_rules = false;
+    /// Revision that a file of `show` was made from.
+    std::optional<revision> base;
 };
 
-/// Reads a register or rules file; the fields tell which one it is.
+/// Reads a register, a rules file or a file of `show`; the fields tell which
+/// one it is. An id that is named twice is a fault.
 std::optional<wanted_items> parse_items(std::string_view text,
                                         std::vector<json_fault>& faults);
 
+/// Adds the items of one more file. An item of two files is a fault.
+void add(wanted_items file, wanted_items& all, std::vector<json_fault>& faults);
+
 /// The whole configuration after the files are taken over.
 config::item_map merged(config::item_map const& current,
                         wanted_items const& wanted);
--- a/include/yuccabeam/standins/store_server.hpp
+++ b/include/yuccabeam/standins/store_server.hpp
@@ -3,6 +3,7 @@
 #include "yuccabeam/values/fault.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -33,6 +34,8 @@
     store_server& operator=(store_server const&) = delete;
 
     result<void> start();
+    /// Bound port; differs from the options' port when that is 0.
+    std::uint16_t port() const;
 
 private:
     struct implementation;
--- a/src/yuccabeam/adapters/store_client.cpp
+++ b/src/yuccabeam/adapters/store_client.cpp
@@ -34,6 +34,7 @@
     case 404:
     case 409:
         return write_outcome::conflict;
+    case 413: // too large, never written
     case 503: // declined before the write
         return write_outcome::unreachable;
     default:
--- a/src/yuccabeam/config/fake_store.hpp
+++ b/src/yuccabeam/config/fake_store.hpp
@@ -25,6 +25,8 @@
 public:
     std::function<fate(std::string const& key)> write_fate;
     std::function<bool(std::string const& key)> read_fails;
+    /// How many writes of the head a read of it lags behind.
+    std::function<std::size_t()> head_lag;
     /// Runs before each write of the head, for another operator's turn.
     std::function<void()> before_head_write;
 
@@ -32,6 +34,13 @@
         ++reads;
         if (read_fails && read_fails(key))
             return make_fault(fault_code::unreachable, "store down");
+        if (key == head_key && head_lag) {
+            auto const lag = head_lag();
+            if (lag >= head_values_.size())
+                return std::optional<versioned_value>();
+            return std::optional(
+                *(head_values_.rbegin() + static_cast<std::ptrdiff_t>(lag)));
+        }
         auto const place = values_.find(key);
         if (place == values_.end())
             return std::optional<versioned_value>();
@@ -89,6 +98,7 @@
         values_.insert_or_assign(key, versioned_value{value, ++last_version_});
         if (key != head_key)
             return true;
+        head_values_.push_back({value, last_version_});
         auto const now = parse_head(value).value();
         if (heads_.empty() || heads_.back() != now)
             heads_.push_back(now);
@@ -98,6 +108,7 @@
     std::map<std::string, versioned_value> values_;
     std::vector<std::pair<std::string, versioned_value>> late_;
     std::vector<head> heads_;
+    std::vector<versioned_value> head_values_;
     std::uint64_t last_version_ = 0;
 };
 
--- a/src/yuccabeam/ctl/commands.cpp
+++ b/src/yuccabeam/ctl/commands.cpp
@@ -1,5 +1,9 @@
 #include "yuccabeam/ctl/commands.hpp"
 
+#include <algorithm>
+#include <initializer_list>
+#include <limits>
+#include <set>
 #include <sstream>
 
 namespace yuccabeam::ctl {
@@ -10,6 +14,49 @@
 using config::item_map;
 using nlohmann::json;
 
+bool has_any(json_reader const& reader,
+             std::initializer_list<std::string_view> names) {
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view name) { return reader.has(name); });
+}
+
+// Splitting into items would hide an id that is named twice.
+template <class Item>
+void check_unique(std::string const& path, std::vector<Item> const& list,
+                  std::vector<json_fault>& faults) {
+    std::set<std::string> seen;
+    for (std::size_t i = 0; i < list.size(); ++i)
+        if (!list[i].id.empty() && !seen.insert(list[i].id.value).second)
+            faults.push_back({path + "/" + std::to_string(i) + "/id",
+                              "a unique id",
+                              list[i].id.value + " a second time"});
+}
+
+void read_register(json_reader& reader, wanted_items& out,
+                   std::vector<json_fault>& faults) {
+    auto const reg = parse_asset_register(reader);
+    auto const& path = reader.path();
+    auto const before = faults.size();
+    check_unique(path + "/failure_domains", reg.failure_domains, faults);
+    check_unique(path + "/services", reg.services, faults);
+    check_unique(path + "/targets", reg.targets, faults);
+    if (faults.size() == before)
+        out.items.merge(config::items_of(reg));
+    out.has_register = true;
+}
+
+void read_rules(json_reader& reader, wanted_items& out,
+                std::vector<json_fault>& faults) {
+    auto const rules = parse_rules(reader);
+    auto const& path = reader.path();
+    auto const before = faults.size();
+    check_unique(path + "/routes", rules.routes, faults);
+    check_unique(path + "/accounts", rules.accounts, faults);
+    if (faults.size() == before)
+        out.items.merge(config::items_of(rules));
+    out.has_rules = true;
+}
+
 bool is_rules_key(std::string const& key) {
     return key.starts_with("route/") || key.starts_with("account/") ||
            key == "policy";
@@ -124,16 +171,22 @@
     auto const before = faults.size();
     wanted_items out;
     json_reader reader(*document, "", faults);
-    out.has_register = reader.has("services") || reader.has("targets") ||
-                       reader.has("failure_domains");
-    out.has_rules =
-        reader.has("routes") || reader.has("policy") || reader.has("accounts");
-    if (out.has_register)
-        out.items = config::items_of(parse_asset_register(reader));
-    if (out.has_rules)
-        out.items.merge(config::items_of(parse_rules(reader)));
+    if (reader.has("register") || reader.has("rules")) {
+        out.base = static_cast<revision>(reader.integer(
+            "revision", {0, std::numeric_limits<std::int64_t>::max()}));
+        reader.object_or("register", [&](json_reader& part) {
+            read_register(part, out, faults);
+        });
+        reader.object_or(
+            "rules", [&](json_reader& part) { read_rules(part, out, faults); });
+    } else {
+        if (has_any(reader, {"services", "targets", "failure_domains"}))
+            read_register(reader, out, faults);
+        if (has_any(reader, {"routes", "policy", "accounts"}))
+            read_rules(reader, out, faults);
+    }
     reader.finish();
-    if (!out.has_register && !out.has_rules)
+    if (!out.has_register && !out.has_rules && faults.size() == before)
         faults.push_back({"",
                           "a register (services, targets, "
                           "failure_domains) or rules (policy, routes, "
@@ -144,6 +197,21 @@
     return out;
 }
 
+void add(wanted_items file, wanted_items& all,
+         std::vector<json_fault>& faults) {
+    for (auto const& [key, value] : file.items)
+        if (!all.items.emplace(key, value).second)
+            faults.push_back(
+                {"", "items that no other file has", key + " a second time"});
+    all.has_register |= file.has_register;
+    all.has_rules |= file.has_rules;
+    if (all.base && file.base && all.base != file.base)
+        faults.push_back({"/revision", "the revision of the other file",
+                          std::to_string(*file.base)});
+    if (file.base)
+        all.base = file.base;
+}
+
 item_map merged(item_map const& current, wanted_items const& wanted) {
     item_map out = wanted.items;
     for (auto const& [key, value] : current) {
