--- a/src/yuccabeam/bench/config_bench.cpp
+++ b/src/yuccabeam/bench/config_bench.cpp
@@ -100,7 +100,7 @@
     auto const route_key = numbered("route/route-", random() % route_count);
     std::string const keys[] = {account_key, target_key, route_key};
     auto const& key = keys[random() % 3];
-    auto const old = items.at(key);
+    auto const& old = items.at(key);
     auto changed = old;
     if (auto* value = std::get_if<account>(&changed))
         ++value->weight;
--- a/src/yuccabeam/ctl/commands_test.cpp
+++ b/src/yuccabeam/ctl/commands_test.cpp
@@ -17,6 +17,7 @@
 
 std::vector<std::string> paths_of(std::vector<json_fault> const& faults) {
     std::vector<std::string> out;
+    out.reserve(faults.size());
     for (auto const& fault : faults)
         out.push_back(fault.path);
     return out;
--- a/src/yuccabeam/ctl/main.cpp
+++ b/src/yuccabeam/ctl/main.cpp
@@ -1,13 +1,18 @@
 #include "yuccabeam/ctl/session.hpp"
 
+#include <charconv>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <optional>
 #include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
 
 DEFINE_string(settings, "", "settings file (JSON)");
 DEFINE_bool(json, false, "print JSON for programs");
-DEFINE_int64(base, -1, "revision that the files start from");
+DEFINE_string(base, "", "revision that the files start from");
 DECLARE_bool(help);
 DECLARE_bool(version);
 
@@ -15,6 +20,7 @@
 
 using namespace yuccabeam;
 using ctl::exit_code;
+using words = std::vector<std::string>;
 
 int finish(ctl::outcome const& result) {
     auto& out = result.code == exit_code::done ? std::cout : std::cerr;
@@ -29,7 +35,58 @@
     return finish({exit_code::input_fault, text + "\n", {{"error", text}}});
 }
 
-int run(int argc, char** argv) {
+/// Sets one flag. gflags' own parser ends a program with 1, which is not an
+/// exit code of this tool.
+bool set_flag(std::string const& name, std::optional<std::string> value,
+              words& rest) {
+    gflags::CommandLineFlagInfo info;
+    if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info))
+        return false;
+    if (!value && info.type == "bool")
+        value = "true";
+    if (!value && !rest.empty()) {
+        value = rest.front();
+        rest.erase(rest.begin());
+    }
+    return value &&
+           !gflags::SetCommandLineOption(name.c_str(), value->c_str()).empty();
+}
+
+/// Sets the flags among `rest` and moves the other arguments to `arguments`.
+/// The first argument that is wrong ends it and is the answer.
+std::optional<std::string> parse_flags(words rest, words& arguments) {
+    while (!rest.empty()) {
+        auto const argument = rest.front();
+        rest.erase(rest.begin());
+        if (!argument.starts_with("-")) {
+            arguments.push_back(argument);
+            continue;
+        }
+        auto const start = argument.find_first_not_of('-');
+        auto const equals = argument.find('=');
+        if (start == std::string::npos)
+            return argument;
+        std::optional<std::string> value;
+        if (equals != std::string::npos)
+            value = argument.substr(equals + 1);
+        auto const name =
+            argument.substr(start, value ? equals - start : std::string::npos);
+        if (!set_flag(name, value, rest))
+            return argument;
+    }
+    return std::nullopt;
+}
+
+std::optional<revision> parse_base() {
+    revision base = 0;
+    auto const* const end = FLAGS_base.data() + FLAGS_base.size();
+    auto const parsed = std::from_chars(FLAGS_base.data(), end, base);
+    if (parsed.ec != std::errc{} || parsed.ptr != end)
+        return std::nullopt;
+    return base;
+}
+
+int run(words arguments) {
     std::ifstream file(FLAGS_settings);
     if (!file)
         return input_fault("cannot read --settings " + FLAGS_settings);
@@ -40,10 +97,13 @@
         return input_fault("settings " + FLAGS_settings + ":\n" +
                            describe(*faults));
     ctl::invocation call;
-    call.command = argv[1];
-    call.arguments.assign(argv + 2, argv + argc);
-    if (FLAGS_base >= 0)
-        call.base = static_cast<revision>(FLAGS_base);
+    call.command = arguments.front();
+    call.arguments.assign(arguments.begin() + 1, arguments.end());
+    if (!FLAGS_base.empty()) {
+        call.base = parse_base();
+        if (!call.base)
+            return input_fault("--base " + FLAGS_base + " is not a revision");
+    }
     call.announce_edit = [](std::string const& id) {
         std::cerr << "Edit " << id << "\n";
     };
@@ -55,8 +115,10 @@
 int main(int argc, char** argv) {
     gflags::SetUsageMessage(std::string(ctl::usage()));
     gflags::SetVersionString("0.1.0");
-    // gflags ends with 1 after --help, which would read as a failure.
-    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    words arguments;
+    if (auto const wrong = parse_flags(words(argv + 1, argv + argc), arguments))
+        return input_fault("wrong flag " + *wrong + "\n\n" +
+                           std::string(ctl::usage()));
     if (FLAGS_help) {
         std::cout << ctl::usage() << "\n";
         return 0;
@@ -65,7 +127,7 @@
         std::cout << "yuccabeamctl " << gflags::VersionString() << "\n";
         return 0;
     }
-    if (argc < 2)
+    if (arguments.empty())
         return input_fault(std::string(ctl::usage()));
-    return run(argc, argv);
+    return run(std::move(arguments));
 }
--- a/src/yuccabeam/ctl/session_test.cpp
+++ b/src/yuccabeam/ctl/session_test.cpp
@@ -20,8 +20,8 @@
     operators() {
         std::filesystem::create_directories(directory_);
         REQUIRE(store_.start());
-        settings_.author = "tester";
-        settings_.store = "127.0.0.1:" + std::to_string(store_.port());
+        used.author = "tester";
+        used.store = "127.0.0.1:" + std::to_string(store_.port());
     }
     ~operators() { std::filesystem::remove_all(directory_); }
     operators(operators const&) = delete;
@@ -34,20 +34,20 @@
     }
     outcome run(std::string command, std::vector<std::string> arguments,
                 std::optional<revision> base = {}) {
-        return ctl::run(settings_,
+        return ctl::run(used,
                         {std::move(command), std::move(arguments), base,
                          [this](auto const& id) { edit = id; }});
     }
     void control(json const& wanted) const {
         adapters::http_call call;
         call.method = "POST";
-        call.url = "http://" + settings_.store + "/v1/control";
+        call.url = "http://" + used.store + "/v1/control";
         call.body = wanted.dump();
         REQUIRE(adapters::perform(call).value().status == 200);
     }
     json shown() { return run("show", {}).data; }
 
-    settings settings_;
+    ctl::settings used;
     std::string edit;
 
 private:
@@ -178,7 +178,7 @@
             return answer.dump();
         });
     REQUIRE(daemon.start());
-    ops.settings_.daemons = {"127.0.0.1:1",
+    ops.used.daemons = {"127.0.0.1:1",
                              "127.0.0.1:" + std::to_string(daemon.port())};
     CHECK(ops.run("explain", {"target", "t1"}).text == "explain_target t1\n");
     CHECK(ops.run("explain", {"config"}).text == "explain_config \n");
