--- a/src/yuccabeam/ctl/session_test.cpp
+++ b/src/yuccabeam/ctl/session_test.cpp
@@ -34,9 +34,8 @@
     }
     outcome run(std::string command, std::vector<std::string> arguments,
                 std::optional<revision> base = {}) {
-        return ctl::run(used,
-                        {std::move(command), std::move(arguments), base,
-                         [this](auto const& id) { edit = id; }});
+        return ctl::run(used, {std::move(command), std::move(arguments), base,
+                               [this](auto const& id) { edit = id; }});
     }
     void control(json const& wanted) const {
         adapters::http_call call;
@@ -179,7 +178,7 @@
         });
     REQUIRE(daemon.start());
     ops.used.daemons = {"127.0.0.1:1",
-                             "127.0.0.1:" + std::to_string(daemon.port())};
+                        "127.0.0.1:" + std::to_string(daemon.port())};
     CHECK(ops.run("explain", {"target", "t1"}).text == "explain_target t1\n");
     CHECK(ops.run("explain", {"config"}).text == "explain_config \n");
     CHECK(ops.run("explain", {"target", "unknown"}).code ==
