Judge faults by order of time, spare below the floor, bound queueing

Change: good requests from before an excursion don't count against it; a failure domain counts as healthy only with good requests in the last 2 s; a spared target stays suspect and its ordinary requests are its trials; entries wait at most 300 ms, bulk ones 3 s.

--- a/include/yuccabeam/daemon/queries.hpp
+++ b/include/yuccabeam/daemon/queries.hpp
@@ -26,7 +26,6 @@
 /// The answer has the fields `text`, sentences for a person, and `data`, the
 /// same facts for a program. An unknown method or name gives `error`.
 nlohmann::json answer_query(query_sources const& sources,
-                            std::string const& method,
-                            std::string const& id);
+                            std::string const& method, std::string const& id);
 
 } // namespace yuccabeam::daemon
--- a/include/yuccabeam/health/detector.hpp
+++ b/include/yuccabeam/health/detector.hpp
@@ -53,6 +53,8 @@
     std::uint32_t bad = 0;
     std::uint32_t connection_faults = 0; ///< refused or reset, within `bad`
     std::uint64_t callers = 0;           ///< bitmap
+    /// End of the window with the excursion's first bad request.
+    time_point started{};
     /// When the score last rose above a quarter of its cap.
     time_point raised_at{};
     time_point last{};
@@ -68,11 +70,14 @@
     std::uint32_t bad = 0;
     std::uint32_t connection_faults = 0;
     std::uint64_t callers = 0;
+    time_point seen{}; ///< end of the window in which they were seen
 };
 
-/// Adds a batch. The order within a batch is unknown; its sum is added
-/// before the score is cut off at zero, which never raises it too far. The
-/// score is capped at `cap`, so that a long fault does not delay recovery.
+/// Adds a batch. Good requests from before the excursion are left out:
+/// observers without failures report seldom, and their late news would hide
+/// a fault that has begun since. The order within a batch is unknown; its sum
+/// is added before the score is cut off at zero, which never raises it too far.
+/// The score is capped at `cap`, so that a long fault does not delay recovery.
 void add(cusum& test, evidence_batch const& batch, likelihood_steps steps,
          double cap, time_point now);
 
--- a/include/yuccabeam/limits/admission_queue.hpp
+++ b/include/yuccabeam/limits/admission_queue.hpp
@@ -30,7 +30,8 @@
 
 enum class drop_reason : std::uint8_t {
     cannot_finish, ///< time left is below the service time
-    queue_full
+    queue_full,
+    waited_too_long ///< above the longest wait of its priority
 };
 
 /// Send this entry now; it has left the queue.
@@ -54,6 +55,12 @@
     /// Guaranteed share of dispatches and of the capacity.
     double normal_share = 0.10;
     double bulk_share = 0.05;
+    /// Longest wait of interactive and normal entries. Callers repeat what is
+    /// answered late, so a queue that holds entries up to their deadlines
+    /// keeps an overload going after its cause has ended.
+    duration longest_wait = std::chrono::milliseconds(300);
+    /// Longest wait of bulk entries, whose callers are patient.
+    duration longest_bulk_wait = std::chrono::seconds(3);
     /// The queue counts as overloaded when it has not been empty for this
     /// long: a standing queue, not a burst.
     duration overload_after = std::chrono::milliseconds(100);
--- a/src/yuccabeam/daemon/service_pool.cpp
+++ b/src/yuccabeam/daemon/service_pool.cpp
@@ -52,8 +52,8 @@
 }
 
 refusal refusal_of(limits::drop_reason reason) {
-    return reason == limits::drop_reason::queue_full ? refusal::queue_full
-                                                     : refusal::cannot_finish;
+    return reason == limits::drop_reason::cannot_finish ? refusal::cannot_finish
+                                                        : refusal::queue_full;
 }
 
 } // namespace
--- a/src/yuccabeam/health/detector.cpp
+++ b/src/yuccabeam/health/detector.cpp
@@ -57,12 +57,15 @@
         test.observers.clear();
     }
     auto const before = test.score;
-    test.score += steps.good * batch.good + steps.bad * batch.bad;
+    if (before == 0 && batch.bad > 0)
+        test.started = batch.seen;
+    auto const good = before > 0 && batch.seen < test.started ? 0 : batch.good;
+    test.score += steps.good * good + steps.bad * batch.bad;
     test.score = std::clamp(test.score, 0.0, cap);
     if (before < cap / 4 && test.score >= cap / 4)
         test.raised_at = now;
     test.last = now;
-    test.requests += batch.good + batch.bad;
+    test.requests += good + batch.bad;
     test.bad += batch.bad;
     test.connection_faults += batch.connection_faults;
     test.callers |= batch.callers;
--- a/src/yuccabeam/health/evidence_merge.cpp
+++ b/src/yuccabeam/health/evidence_merge.cpp
@@ -26,7 +26,7 @@
         auto const added = difference(merged, known);
         known = merged;
         if (added.requests() > 0 || added.latency.total() > 0)
-            deltas[place] = {*target, *kind, added};
+            deltas[place] = {*target, *kind, added, item.age};
     }
     std::vector<evidence_delta> ordered;
     ordered.reserve(deltas.size());
--- a/src/yuccabeam/health/evidence_merge.hpp
+++ b/src/yuccabeam/health/evidence_merge.hpp
@@ -18,6 +18,7 @@
     std::uint32_t target = 0;
     std::uint32_t kind = 0;
     window_counts counts;
+    std::uint64_t age = 0; ///< windows between its own and the report's
 };
 
 /// Merges the reports of one observer. Duplicates, reordering and lateness
--- a/src/yuccabeam/health/scoreboard.cpp
+++ b/src/yuccabeam/health/scoreboard.cpp
@@ -125,11 +125,15 @@
     totals_[delta.kind].add(value, second);
     tests.rates[delta.kind].add(value, second);
 
-    evidence_batch const failures{
-        observer, counts.ok + counts.slow, counts.failures(),
-        counts.refused + counts.reset, counts.failing_callers};
-    evidence_batch const slowness{observer, counts.ok, counts.slow, 0,
-                                  counts.slow_callers};
+    auto const seen = now - std::chrono::seconds(delta.age);
+    evidence_batch const failures{observer,
+                                  counts.ok + counts.slow,
+                                  counts.failures(),
+                                  counts.refused + counts.reset,
+                                  counts.failing_callers,
+                                  seen};
+    evidence_batch const slowness{observer, counts.ok,           counts.slow,
+                                  0,        counts.slow_callers, seen};
     auto const failure_steps = steps(delta.target, delta.kind, false, second);
     auto const slow_steps = steps(delta.target, delta.kind, true, second);
     auto const put = [&](cusum& test, evidence_batch const& batch,
@@ -185,6 +189,14 @@
     return std::nullopt;
 }
 
+bool scoreboard::looks_good(std::uint32_t target, time_point now) const {
+    tally sum;
+    for (auto const& ring : targets_[target].rates)
+        sum.add(ring.recent(window_of(now)));
+    return sum.requests >= sum.failures + sum.slow + few_requests &&
+           !looks_bad(target);
+}
+
 bool scoreboard::is_failing(std::uint32_t target) const {
     tally sum;
     for (auto const& ring : targets_[target].rates)
--- a/src/yuccabeam/health/scoreboard.hpp
+++ b/src/yuccabeam/health/scoreboard.hpp
@@ -77,6 +77,8 @@
     /// The test that crossed the threshold with enough spread, worst first.
     std::optional<test_id> crossed(std::uint32_t target,
                                    std::uint32_t observers) const;
+    /// Whether requests to the target have gone well in the last 2 s.
+    bool looks_good(std::uint32_t target, time_point now) const;
     /// Whether the target fails at half of p1 or more, whatever the others
     /// do.
     bool is_failing(std::uint32_t target) const;
--- a/src/yuccabeam/health/service_health.cpp
+++ b/src/yuccabeam/health/service_health.cpp
@@ -67,13 +67,11 @@
                 leaving_until_[target] > now ? leaving_since_[target]
                                              : granted.leaving_since,
                 next_change::end_of_leaving};
-    if (runs_trial(target, now) &&
-        (is_ejected(target, now) || granted.spared_until > now))
-        return {target_state::trial, 0,
-                is_ejected(target, now) ? state_reason::granted
-                : granted.lost          ? state_reason::domain_lost
-                                        : state_reason::budget,
-                granted.since, next_change::trials};
+    // A spared target stays suspect while it is on trial: out of use at its
+    // trial daemon, it would count against the floor without a grant.
+    if (is_ejected(target, now) && runs_trial(target, now))
+        return {target_state::trial, 0, state_reason::granted, granted.since,
+                next_change::trials};
     if (is_ejected(target, now))
         return {target_state::ejected, 0, state_reason::granted, granted.since,
                 granted.last.hold_ms > 0 ? next_change::hold_end
@@ -133,6 +131,15 @@
         observe_trial(seen, now);
         return;
     }
+    // Ordinary requests are the trials of a spared target, at most one in
+    // each interval.
+    if (!is_ejected(seen.target, now) && runs_trial(seen.target, now) &&
+        now >= trials_[seen.target].next_at) {
+        trials_[seen.target].next_at =
+            now + std::chrono::milliseconds(
+                      grants_.of(seen.target).last.trial_interval_ms);
+        observe_trial(seen, now);
+    }
     if (seen.outcome == request_outcome::shed ||
         seen.outcome == request_outcome::caller_error ||
         seen.outcome == request_outcome::cancelled)
--- a/src/yuccabeam/limits/admission_queue.cpp
+++ b/src/yuccabeam/limits/admission_queue.cpp
@@ -29,6 +29,8 @@
 struct waiting_entry {
     entry_id id = 0;
     time_point latest_start;
+    /// Why the entry is dropped after `latest_start`.
+    drop_reason late = drop_reason::cannot_finish;
 };
 
 /// Entries of one account in one priority, oldest first.
@@ -82,8 +84,16 @@
         auto const priority = static_cast<std::size_t>(entry.priority);
         auto& in = classes_[priority];
         auto const account = account_of(in, entry);
-        auto const latest = latest_start_of(entry);
-        account->entries.push_back({entry.id, latest});
+        auto const wait = entry.priority == priority::bulk
+                              ? options_.longest_bulk_wait
+                              : options_.longest_wait;
+        auto latest = latest_start_of(entry);
+        auto late = drop_reason::cannot_finish;
+        if (now + wait < latest) {
+            latest = now + wait;
+            late = drop_reason::waited_too_long;
+        }
+        account->entries.push_back({entry.id, latest, late});
         entries_.emplace(entry.id, location{priority, account,
                                             std::prev(account->entries.end())});
         by_latest_start_.emplace(latest, entry.id);
@@ -119,8 +129,9 @@
         while (!by_latest_start_.empty() &&
                by_latest_start_.begin()->first < now) {
             auto const id = by_latest_start_.begin()->second;
+            auto const reason = entries_.at(id).entry->late;
             remove(id);
-            out.emplace_back(drop_entry{id, drop_reason::cannot_finish});
+            out.emplace_back(drop_entry{id, reason});
         }
     }
 
