Know the usual share of slow requests before judging slowness

Cause: with a heavy tail of latency 8% of healthy requests take above four times the median; at a low request rate the sums over seconds are too small to know it, and the slowness test ejected healthy targets.

Change: the arbiter keeps each kind's share of slow requests over the last few thousand and uses it as the prior of the background rate.

--- a/src/yuccabeam/bench/policy_aims_test.cpp
+++ b/src/yuccabeam/bench/policy_aims_test.cpp
@@ -1,6 +1,4 @@
-// The aims of the comparison that runs have missed. Each case is listed in
-// KNOWN-RED.txt and may fail until its cause is repaired; drop `may_fail` and
-// the entry together then.
+// Aims of the comparison that earlier runs have missed.
 #include "policy_scenarios.hpp"
 #include "policy_yuccabeam.hpp"
 
@@ -31,15 +29,13 @@
 
 // Guards against ejections that together leave less than the floor when half
 // of the orders service starts cold.
-TEST_CASE("half a cold pool is not ejected below the floor" *
-          doctest::may_fail()) {
+TEST_CASE("half a cold pool is not ejected below the floor") {
     CHECK(run_named("half_cold", 1).floor_violations == 0);
 }
 
 // Guards against daemons that keep sending to a crashed target because only
 // one failure domain has seen it fail.
-TEST_CASE("a crashed catalog target is left by the whole fleet" *
-          doctest::may_fail()) {
+TEST_CASE("a crashed catalog target is left by the whole fleet") {
     for (std::uint64_t repeat = 0; repeat < 5; ++repeat) {
         CAPTURE(seed + repeat);
         auto const seen = run_named("crash", 2, std::chrono::hours(24), repeat);
@@ -51,15 +47,13 @@
 
 // Guards against ejecting healthy targets whose latency has a heavy tail; the
 // aim is at most one in 24 h over all targets.
-TEST_CASE("a heavy tail of latency ejects no catalog target in 3 h" *
-          doctest::may_fail()) {
+TEST_CASE("a heavy tail of latency ejects no catalog target in 3 h") {
     auto const seen = run_named("healthy_24_h", 2, std::chrono::hours(3));
     CHECK(seen.false_ejections <= 1);
 }
 
 // Guards against an overload whose effect outlasts it by more than 5 s.
-TEST_CASE("the stock service recovers within 5 s of an overload" *
-          doctest::may_fail()) {
+TEST_CASE("the stock service recovers within 5 s of an overload") {
     CHECK(run_named("overload", 0).recovery_s <= 5);
 }
 
--- a/src/yuccabeam/health/scoreboard.cpp
+++ b/src/yuccabeam/health/scoreboard.cpp
@@ -12,6 +12,8 @@
 // Fewer requests tell nothing about a rate.
 constexpr std::uint32_t least_requests = 20;
 constexpr std::uint32_t few_requests = 3;
+constexpr double usual_window_requests = 4096;
+constexpr double usual_least_requests = 200;
 // A score without evidence for this long says nothing about the present.
 constexpr duration idle_limit = std::chrono::seconds(60);
 
@@ -37,6 +39,21 @@
     slow -= other.slow;
 }
 
+void usual_slowness::add(tally const& value) {
+    requests_ += value.requests;
+    slow_ += value.slow;
+    if (requests_ > usual_window_requests) {
+        requests_ /= 2;
+        slow_ /= 2;
+    }
+}
+
+double usual_slowness::rate(double lowest) const {
+    if (requests_ < usual_least_requests)
+        return lowest;
+    return std::max(lowest, slow_ / requests_);
+}
+
 void rate_ring::advance(std::uint64_t second) {
     if (second <= head_)
         return;
@@ -74,14 +91,15 @@
 scoreboard::scoreboard(std::size_t targets, std::size_t kinds,
                        detector_options options)
     : options_(options), threshold_(threshold_of(options)),
-      targets_(targets, target_tests(kinds)), totals_(kinds) {}
+      targets_(targets, target_tests(kinds)), totals_(kinds), usual_(kinds) {}
 
 double scoreboard::others_rate(std::uint32_t target, std::uint32_t kind,
                                bool slowness) const {
+    auto const prior = slowness ? usual_[kind].rate(options_.p0) : options_.p0;
     auto const rate = [&](tally all, tally const& own) {
         all.subtract(own);
         return shrunk_rate(slowness ? all.slow : all.failures, all.requests,
-                           options_.p0);
+                           prior);
     };
     auto const& own = targets_[target].rates[kind];
     // The short sum follows a fault of the whole service sooner.
@@ -123,6 +141,7 @@
     auto const& counts = delta.counts;
     tally const value{counts.requests(), counts.failures(), counts.slow};
     totals_[delta.kind].add(value, second);
+    usual_[delta.kind].add(value);
     tests.rates[delta.kind].add(value, second);
 
     auto const seen = now - std::chrono::seconds(delta.age);
--- a/src/yuccabeam/health/scoreboard.hpp
+++ b/src/yuccabeam/health/scoreboard.hpp
@@ -40,6 +40,20 @@
     std::uint64_t head_ = 0;
 };
 
+/// Share of slow requests over the last few thousand. Latency with a heavy
+/// tail has such a share without any fault; the sums over seconds are too
+/// small to know it at a low request rate.
+class usual_slowness {
+public:
+    void add(tally const& value);
+    /// At least `lowest`.
+    double rate(double lowest) const;
+
+private:
+    double requests_ = 0;
+    double slow_ = 0;
+};
+
 /// The tests of one target for the observers of one scope.
 struct target_tests {
     cusum failures; ///< over all kinds
@@ -102,7 +116,8 @@
     detector_options options_;
     double threshold_;
     std::vector<target_tests> targets_;
-    std::vector<rate_ring> totals_; ///< by kind
+    std::vector<rate_ring> totals_;     ///< by kind
+    std::vector<usual_slowness> usual_; ///< by kind
 };
 
 } // namespace yuccabeam::health
