--- a/src/yuccabeam/adapters/store_client.cpp
+++ b/src/yuccabeam/adapters/store_client.cpp
@@ -23,6 +23,20 @@
                           std::to_string(reply.status));
 }
 
+// The value in a reply; `absent` is the status that means there is none.
+result<std::optional<versioned_value>> value_of(result<http_reply> reply,
+                                                int absent) {
+    if (!reply)
+        return reply.error();
+    if (reply.value().status == absent)
+        return std::optional<versioned_value>();
+    if (reply.value().status != 200)
+        return unexpected(reply.value());
+    auto const version = version_of(reply.value());
+    return std::optional(
+        versioned_value{std::move(reply.value().body), version});
+}
+
 write_outcome outcome_of(result<http_reply> const& reply) {
     if (!reply)
         return reply.error().code == fault_code::unreachable
@@ -63,16 +77,7 @@
     http_call call;
     call.url = base_ + "kv/" + key;
     call.timeout = options_.timeout;
-    auto reply = perform(call);
-    if (!reply)
-        return reply.error();
-    if (reply.value().status == 404)
-        return std::optional<versioned_value>();
-    if (reply.value().status != 200)
-        return unexpected(reply.value());
-    auto const version = version_of(reply.value());
-    return std::optional(
-        versioned_value{std::move(reply.value().body), version});
+    return value_of(perform(call), 404);
 }
 
 write_outcome store_client::create(std::string const& key,
@@ -108,16 +113,7 @@
     call.url = base_ + "watch/" + key + "?after=" + std::to_string(after) +
                "&wait_ms=" + std::to_string(wait.count());
     call.timeout = wait + options_.timeout;
-    auto reply = perform(call);
-    if (!reply)
-        return reply.error();
-    if (reply.value().status == 204)
-        return std::optional<versioned_value>();
-    if (reply.value().status != 200)
-        return unexpected(reply.value());
-    auto const version = version_of(reply.value());
-    return std::optional(
-        versioned_value{std::move(reply.value().body), version});
+    return value_of(perform(call), 204);
 }
 
 result<std::vector<listed_vm>> store_client::vms() {
--- a/src/yuccabeam/ctl/session.cpp
+++ b/src/yuccabeam/ctl/session.cpp
@@ -180,15 +180,28 @@
         return {exit_code::done, data.dump(2) + "\n", data};
     }
 
-    // The first daemon that answers speaks.
+    // Daemons may see a target differently, and only one of them knows a
+    // request, so all are asked. Equal views are shown once.
     outcome ask(std::string const& method, std::string const& id) {
         std::string reason = "the settings name no daemon";
+        std::optional<outcome> refused;
+        std::vector<view> views;
         for (auto const& daemon : settings_->daemons) {
             auto const answer = query(daemon, method, id);
-            if (answer.answered)
-                return to_outcome(answer.text);
-            reason = answer.text;
+            if (!answer.answered) {
+                reason = answer.text;
+                continue;
+            }
+            auto one = to_outcome(answer.text);
+            if (one.code != exit_code::done)
+                refused = std::move(one);
+            else
+                add_view(views, daemon, std::move(one));
         }
+        if (!views.empty())
+            return merged_views(std::move(views));
+        if (refused)
+            return *refused;
         return {exit_code::unreachable,
                 "No daemon answered: " + reason + "\n",
                 {{"error", reason}}};
@@ -217,6 +230,46 @@
     }
 
 private:
+    /// An answer and the daemons that gave it.
+    struct view {
+        std::string daemons;
+        outcome answer;
+    };
+
+    // What daemons decide, without their own counts and times.
+    static json decisions_of(json const& data) {
+        json out = {data.value("state", ""), data.value("reason", ""),
+                    data.value("revision", 0)};
+        for (auto const& target : data.value("targets", json::array()))
+            out.push_back(
+                {target.value("state", ""), target.value("reason", "")});
+        return out;
+    }
+
+    static void add_view(std::vector<view>& views, std::string const& daemon,
+                         outcome answer) {
+        for (auto& known : views)
+            if (decisions_of(known.answer.data) == decisions_of(answer.data)) {
+                known.daemons += ", " + daemon;
+                return;
+            }
+        views.push_back({daemon, std::move(answer)});
+    }
+
+    static outcome merged_views(std::vector<view> views) {
+        if (views.size() == 1)
+            return std::move(views.front().answer);
+        outcome out;
+        out.data = json::array();
+        out.text = "The daemons see it differently.\n";
+        for (auto& one : views) {
+            out.text += "\nAt " + one.daemons + ":\n" + one.answer.text;
+            out.data.push_back({{"daemons", one.daemons},
+                                {"data", std::move(one.answer.data)}});
+        }
+        return out;
+    }
+
     adapters::json_rpc_result query(std::string const& address,
                                     std::string const& method,
                                     std::string const& id) const {
--- a/src/yuccabeam/daemon/service_pool.cpp
+++ b/src/yuccabeam/daemon/service_pool.cpp
@@ -1,5 +1,6 @@
 #include "yuccabeam/daemon/service_pool.hpp"
 
+#include "yuccabeam/routing/health_state.hpp"
 #include "yuccabeam/routing/select_impl.hpp"
 
 #include <algorithm>
@@ -18,23 +19,6 @@
     return options;
 }
 
-routing::target_state selection_state(health::target_state state) {
-    switch (state) {
-    case health::target_state::healthy:
-    case health::target_state::slow_start:
-        return routing::target_state::healthy;
-    case health::target_state::suspect:
-        return routing::target_state::suspect;
-    case health::target_state::trial:
-        return routing::target_state::trial;
-    case health::target_state::leaving:
-        return routing::target_state::leaving;
-    case health::target_state::ejected:
-        break;
-    }
-    return routing::target_state::ejected;
-}
-
 limits::attempt_result load_result(health::request_outcome outcome) {
     switch (outcome) {
     case health::request_outcome::ok:
@@ -144,7 +128,7 @@
         candidate.in_flight = record.in_flight;
         candidate.failure_domain =
             domain_numbers_.at(record.target.failure_domain);
-        candidate.state = selection_state(status.state);
+        candidate.state = routing::selection_state(status.state);
         candidate.limit = record.limit.limit();
         candidates_.push_back(candidate);
     }
