--- a/src/yuccabeam/daemon/server.cpp
+++ b/src/yuccabeam/daemon/server.cpp
@@ -46,6 +46,11 @@
             .count());
 }
 
+double random_share() {
+    std::mt19937 random(std::random_device{}());
+    return std::uniform_real_distribution<>()(random);
+}
+
 // Reports the outcome of one probe to its pool.
 class probe final : public adapters::call_observer {
 public:
@@ -78,7 +83,7 @@
     daemon::settings settings;
     health::observer_identity self;
     time_point started = boot_now();
-    double jitter;
+    double jitter; ///< of the isolation time, drawn once
     std::atomic<bool> stopping{false};
 
     adapters::metrics metrics;
@@ -123,9 +128,7 @@
     : settings(std::move(given)), self{settings.daemon,
                                        microseconds_since_epoch(),
                                        settings.failure_domain},
-      jitter(std::uniform_real_distribution<>()(
-          *std::make_unique<std::mt19937>(std::random_device{}()))),
-      requests(make_proxy_options(), metrics),
+      jitter(random_share()), requests(make_proxy_options(), metrics),
       peers(make_peer_options(), make_peer_callbacks()),
       configuration(settings.store, settings.shared_key,
                     make_config_callbacks()),
