--- a/src/yuccabeam/daemon/scripted_target.hpp
+++ b/src/yuccabeam/daemon/scripted_target.hpp
@@ -77,8 +77,8 @@
             if (!run_(socket, request))
                 break;
         }
+        // Closed with the fixture: its destructor may shut it down meanwhile.
         socket.shutdown(tcp::socket::shutdown_both, error);
-        socket.close(error);
     }
 
     static std::size_t body_length(std::string const& head) {
