--- a/src/yuccabeam/adapters/logging.cpp
+++ b/src/yuccabeam/adapters/logging.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr char const* pattern =
-    "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p component=%c %m%n";
+    "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p component=%c %m%n";
 
 // Quotes a value that would break the key=value form.
 std::string quoted(std::string const& value) {
