Run trials where a target was seen at its worst

Cause: a target that is slow for one failure domain was ejected for all when the others had sent it few requests, and its trials then ran in a failure domain that doesn't see the fault, which brought it back.

Change: an ejection remembers the failure domain with the strongest evidence and prefers its daemons for trials.

--- a/src/yuccabeam/health/arbiter_state.hpp
+++ b/src/yuccabeam/health/arbiter_state.hpp
@@ -64,6 +64,9 @@
                   std::string const& scope, time_point now);
     std::string scope_of(std::uint32_t target, test_id id,
                          std::string const& crossed, time_point now) const;
+    /// Failure domain that sees the target at its worst, or empty.
+    std::string worst_domain(std::uint32_t target, test_id id,
+                             std::string const& crossed) const;
     bool too_many_bad(std::string const& scope, test_id id,
                       time_point now) const;
     bool service_degraded(time_point now) const;
--- a/src/yuccabeam/health/ejection_book.cpp
+++ b/src/yuccabeam/health/ejection_book.cpp
@@ -109,6 +109,10 @@
     return true;
 }
 
+void ejection_book::prefer_trials_in(std::uint32_t target, std::string domain) {
+    records_[target].trial_domain = std::move(domain);
+}
+
 void ejection_book::assign_trial(ejection_record& record,
                                  target_info const& target,
                                  std::vector<trial_candidate> const& candidates,
@@ -128,6 +132,11 @@
         record.trial_daemon = {};
         return;
     }
+    auto const elsewhere = [&](trial_candidate const* candidate) {
+        return candidate->failure_domain != record.trial_domain;
+    };
+    if (!std::all_of(fit.begin(), fit.end(), elsewhere))
+        std::erase_if(fit, elsewhere);
     std::uniform_int_distribution<std::size_t> choice(0, fit.size() - 1);
     record.trial_daemon = fit[choice(random_)]->id;
     record.trial_round = next_round_++;
--- a/src/yuccabeam/health/ejection_book.hpp
+++ b/src/yuccabeam/health/ejection_book.hpp
@@ -29,6 +29,9 @@
     std::uint32_t relapses = 0;
     bool ejected_before = false;
     time_point last_ejected{};
+    /// Failure domain whose observers saw the target at its worst; a trial
+    /// from elsewhere may pass while they still see it fail.
+    std::string trial_domain;
     daemon_id trial_daemon;
     std::uint32_t trial_round = 0;
     std::uint32_t good_trials = 0;
@@ -62,6 +65,9 @@
     /// Ejects a target, or extends its scope.
     void open(std::uint32_t target, std::string const& scope,
               verdict_evidence evidence, time_point now);
+    /// Runs the target's trials from this failure domain while a daemon
+    /// there can.
+    void prefer_trials_in(std::uint32_t target, std::string domain);
     /// Spares a target because its whole failure domain is lost.
     void mark_lost(std::uint32_t target);
     /// Ends that, when a target of the failure domain has returned.
--- a/src/yuccabeam/health/ejection_book_test.cpp
+++ b/src/yuccabeam/health/ejection_book_test.cpp
@@ -100,6 +100,31 @@
     CHECK(book.of(0).phase == ejection_phase::none);
 }
 
+// Guards against a trial from a failure domain that doesn't see the fault,
+// which would bring the target back for those who do.
+TEST_CASE("trials run where the target was seen at its worst") {
+    struct row {
+        std::string worst;
+        std::vector<trial_candidate> candidates;
+        char const* chosen;
+    };
+    row const rows[] = {
+        {"z1", {{{"d0"}, "z0", {}}, {{"d1"}, "z1", {}}}, "d1"},
+        {"z0", {{{"d0"}, "z0", {}}, {{"d1"}, "z1", {}}}, "d0"},
+        {"z1", {{{"d0"}, "z0", {}}}, "d0"}, // nobody there
+        {"z1", {{{"d0"}, "z0", {}}, {{"d1"}, "z1", {"z0"}}}, "d0"}, // blind
+    };
+    auto const topology = test::make_topology(1, 0);
+    for (auto const& row : rows) {
+        CAPTURE(row.worst);
+        ejection_book book(topology, {}, 7);
+        book.open(0, "", bad(100), start);
+        book.prefer_trials_in(0, row.worst);
+        book.advance(topology, row.candidates, book.of(0).hold_until);
+        CHECK(book.of(0).trial_daemon == daemon_id{row.chosen});
+    }
+}
+
 TEST_CASE("a silent trial daemon is replaced") {
     auto const topology = test::make_topology(1, 0);
     ejection_book book(topology, {}, 7);
--- a/src/yuccabeam/health/judgement.cpp
+++ b/src/yuccabeam/health/judgement.cpp
@@ -68,6 +68,7 @@
     auto const& domain = topology_.targets[target].failure_domain;
     auto const lost = resolved.empty() && is_domain_lost(domain, now);
     book_.open(target, resolved, evidence, now);
+    book_.prefer_trials_in(target, worst_domain(target, *id, scope));
     clear_scores(target);
     ++counters_.ejections;
     if (!lost)
@@ -94,6 +95,21 @@
     return good_elsewhere && bad.size() == 1 ? bad.front() : std::string();
 }
 
+std::string
+arbiter::implementation::worst_domain(std::uint32_t target, test_id id,
+                                      std::string const& crossed) const {
+    if (!crossed.empty())
+        return crossed;
+    std::string worst;
+    double score = 0;
+    for (auto const& [domain, board] : by_domain_)
+        if (board.test(target, id).score > score) {
+            score = board.test(target, id).score;
+            worst = domain;
+        }
+    return worst;
+}
+
 bool arbiter::implementation::too_many_bad(std::string const& scope, test_id id,
                                            time_point now) const {
     auto const* board = scope_board(scope);
