--- a/src/yuccabeam/daemon/settings.cpp
+++ b/src/yuccabeam/daemon/settings.cpp
@@ -1,5 +1,7 @@
 #include "yuccabeam/daemon/settings.hpp"
 
+#include "yuccabeam/values/json_document.hpp"
+
 #include <limits>
 
 namespace yuccabeam::daemon {
@@ -38,16 +40,7 @@
     return key;
 }
 
-} // namespace
-
-std::variant<settings, std::vector<json_fault>>
-parse_settings(std::string_view text) {
-    std::vector<json_fault> faults;
-    auto const document = parse_json(text, faults);
-    if (!document)
-        return faults;
-    settings out;
-    json_reader reader(*document, "", faults);
+void read_settings(json_reader& reader, settings& out) {
     out.deployment = reader.string("deployment");
     out.daemon = {reader.string("daemon")};
     out.failure_domain = {reader.string("failure_domain")};
@@ -68,10 +61,13 @@
                                                  {"warn", "warn"},
                                                  {"error", "error"}});
     out.log_file = reader.string_or("log_file", "");
-    reader.finish();
-    if (!faults.empty())
-        return faults;
-    return out;
+}
+
+} // namespace
+
+std::variant<settings, std::vector<json_fault>>
+parse_settings(std::string_view text) {
+    return read_document<settings>(text, read_settings);
 }
 
 } // namespace yuccabeam::daemon
