--- a/include/yuccabeam/gateway/exchange.hpp
+++ b/include/yuccabeam/gateway/exchange.hpp
@@ -33,6 +33,8 @@
     std::function<void(std::optional<placement::target_notice> const&,
                        service_id const&, bool repeated)>
         tell;
+    /// Tells the failure domain what this daemon has at a target.
+    std::function<void(placement::target_activity const&)> tell_activity;
 };
 
 /// One caller's request with the route that it takes.
--- a/include/yuccabeam/gateway/peer_link.hpp
+++ b/include/yuccabeam/gateway/peer_link.hpp
@@ -6,7 +6,9 @@
 #include "yuccabeam/values/fault.hpp"
 
 #include <asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +29,10 @@
     std::function<void(heartbeat const&, bool is_new)> on_heartbeat;
     std::function<void(belief_message const&)> on_belief;
     std::function<void(change_message const&)> on_changes;
+    std::function<void(activity_message const&)> on_activity;
+    std::function<void(domain_activity_message const&)> on_domain_activity;
+    /// What the daemons of this failure domain have at targets.
+    std::function<std::vector<placement::target_activity>()> domain_activity;
     std::function<void()> on_malformed;
 };
 
@@ -46,6 +52,10 @@
 
     void tell(std::optional<placement::target_notice> const& notice,
               service_id const& service, bool repeated);
+    /// Tells the daemons of this failure domain what this one has at a
+    /// target: at once, or with the next ones when it has just told some.
+    void tell_activity(placement::target_activity const& activity,
+                       time_point now);
     /// Passes changes of the store on; those too large for a datagram are
     /// only announced, and the peers ask for them.
     void pass_on(mirror::store_changes const& changes, time_point now);
@@ -57,10 +67,15 @@
     heartbeat own_heartbeat(bool wants_reply) const;
     void send_heartbeats(time_point now, bool far);
     void send_all(peer_message const& message);
+    void send_near(peer_message const& message, time_point now);
+    void send_activity(time_point now);
+    void send_domain_activity(time_point now);
     void receive(std::span<std::uint8_t const> bytes, time_point now);
     void handle(heartbeat const& message, time_point now);
     void handle(belief_message const& message, time_point now);
     void handle(change_message const& message, time_point now);
+    void handle(activity_message const& message, time_point now);
+    void handle(domain_activity_message const& message, time_point now);
 
     peer_link_options options_;
     peer_link_callbacks callbacks_;
@@ -68,6 +83,10 @@
     std::unique_ptr<net::peer_transport> transport_;
     time_point next_heartbeat_{};
     time_point next_far_heartbeat_{};
+    std::map<target_id, placement::target_activity> activity_;
+    time_point next_activity_{};
+    time_point next_domain_activity_{};
+    std::uint64_t domain_activity_turn_ = 0;
 };
 
 } // namespace yuccabeam::gateway
--- a/include/yuccabeam/gateway/peer_message.hpp
+++ b/include/yuccabeam/gateway/peer_message.hpp
@@ -50,7 +50,27 @@
     bool operator==(change_message const&) const = default;
 };
 
-using peer_message = std::variant<heartbeat, belief_message, change_message>;
+/// What the sender has at targets, for the daemons of its failure domain.
+struct activity_message {
+    daemon_id sender;
+    std::vector<placement::target_activity> targets;
+
+    bool operator==(activity_message const&) const = default;
+};
+
+/// What the daemons of a failure domain have at targets together, for those
+/// of another. It reaches one of them, which passes it on.
+struct domain_activity_message {
+    daemon_id sender;
+    failure_domain_id failure_domain;
+    bool pass_on = false;
+    std::vector<placement::target_activity> targets;
+
+    bool operator==(domain_activity_message const&) const = default;
+};
+
+using peer_message = std::variant<heartbeat, belief_message, change_message,
+                                  activity_message, domain_activity_message>;
 
 std::vector<std::uint8_t> encode(peer_message const& message);
 
--- a/include/yuccabeam/gateway/peer_table.hpp
+++ b/include/yuccabeam/gateway/peer_table.hpp
@@ -51,6 +51,11 @@
     bool trouble_reported(time_point now) const;
 
     std::vector<std::string> addresses() const;
+    /// Live daemons of this failure domain.
+    std::vector<std::string> near_addresses(time_point now) const;
+    /// Live daemons of each other failure domain.
+    std::map<failure_domain_id, std::vector<std::string>>
+    far_addresses(time_point now) const;
     /// In this failure domain, or in an unknown one.
     bool is_near(std::string const& address) const;
     std::size_t live_count(time_point now) const;
--- a/include/yuccabeam/placement/request_course.hpp
+++ b/include/yuccabeam/placement/request_course.hpp
@@ -23,6 +23,9 @@
     double hedge_share = 0.6;
     /// Share after which a target that has not answered is put in doubt.
     double overdue_share = 1.25;
+    /// The same in multiples of the service's usual time to an answer, where
+    /// that is sooner.
+    double overdue_factor = 3;
 };
 
 /// One request, as far as the choice of its targets depends on it.
@@ -46,6 +49,7 @@
 struct course_attempt {
     target to;
     bool suspected = false; ///< when it was chosen
+    bool queued = false;    ///< behind as many requests as it has slots
     /// A kept connection may be used. A reset of a new one is the target's
     /// doing, so that a test of a suspected target has a clear outcome; a
     /// non-idempotent request must not meet a connection that closes unseen.
@@ -54,7 +58,7 @@
     bool running = true;
 };
 
-/// What the other daemons have to know.
+/// What all other daemons have to know.
 struct course_news {
     std::optional<target_notice> notice;
     bool repeated = false; ///< the request goes to another target
@@ -73,6 +77,9 @@
     std::size_t attempt = 0;
     std::string_view reason;
     std::vector<course_news> news;
+    /// Requests of this daemon at targets, which the daemons of its failure
+    /// domain have to know.
+    std::vector<target_activity> activity;
     /// Decision on the attempt that has just ended.
     next_step decision = next_step::fail;
 };
@@ -89,12 +96,12 @@
 
     course_step start(time_point now);
     course_step on_attempt_end(std::size_t attempt, attempt_outcome outcome,
-                               time_point now);
+                               time_point now, std::size_t answer_bytes = 0);
     /// The time of `next_check` has come.
     course_step on_check(time_point now);
     course_step on_deadline(time_point now);
     /// Gives up all running attempts; they say nothing about their targets.
-    void abandon();
+    course_step abandon();
 
     /// When `on_check` is due; empty when it is not any more.
     std::optional<time_point> next_check() const { return next_check_; }
@@ -103,12 +110,16 @@
     /// Some attempt may have run the request.
     bool may_have_run() const { return ran_; }
     bool ended() const { return ended_; }
+    /// Ended with a good answer of a target.
+    bool succeeded() const { return succeeded_; }
     std::uint32_t attempts_sent() const { return sent_; }
     std::size_t running() const;
     std::vector<course_attempt> const& attempts() const { return attempts_; }
 
 private:
-    choice_request wanted() const;
+    choice_request wanted(time_point now) const;
+    void give_up_running(course_step& step);
+    void tell_activity(target_id const& id, course_step& step);
     bool enough_time(time_point now) const;
     course_step try_next(time_point now, course_step step);
     course_step send(choice const& chosen, time_point now, course_step step);
@@ -117,19 +128,23 @@
     course_step hedge(time_point now);
     std::optional<target_notice> note_end(course_attempt const& done,
                                           attempt_outcome outcome,
-                                          time_point now);
+                                          time_point now,
+                                          std::size_t answer_bytes);
     next_step decide(attempt_outcome outcome, time_point now) const;
     void set_check(time_point now);
+    duration time_to_check() const;
 
     course_request request_;
     course_parts parts_;
     course_options options_;
+    time_point objective_end_{};
     std::vector<course_attempt> attempts_;
     std::vector<target_id> tried_;
     std::uint32_t sent_ = 0; ///< attempts that reached their target
     bool ran_ = false;
     bool ended_ = false;
     bool checked_ = false;
+    bool succeeded_ = false;
     std::optional<time_point> next_check_;
     /// Attempt whose failure is delivered when nothing better comes.
     std::optional<std::size_t> fallback_;
--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "yuccabeam/placement/belief.hpp"
 #include "yuccabeam/placement/outcome.hpp"
+#include "yuccabeam/placement/valuation.hpp"
 #include "yuccabeam/values/ids.hpp"
 #include "yuccabeam/values/time.hpp"
 #include "yuccabeam/values/traffic.hpp"
@@ -16,33 +18,9 @@
 
 namespace yuccabeam::placement {
 
-/// A target is sound or failing. The odds that it fails grow with each
-/// failure, shrink with each success and drift back to those of a target of
-/// which nothing is known (Bayes' rule on a two-state process).
-struct belief_options {
-    /// Probability that a target of which nothing is known is failing.
-    double prior = 0.03;
-    /// Time in which the excess over the prior falls to 1/e.
-    duration memory = std::chrono::seconds(5);
-    /// Factors on the odds: how much likelier a failing target gives this
-    /// outcome than a sound one.
-    double failure_factor = 300;
-    double doubt_factor = 10; ///< an error of its own, or a late answer
-    /// The same without room: a single doubt then costs more slots than it
-    /// spares failures.
-    double crowded_doubt_factor = 4;
-    double success_factor = 0.3;
-    /// Bounds of the probability, so that new evidence always counts.
-    double lowest = 0.01;
-    double highest = 0.95;
-    /// A target above this probability gets no non-idempotent request.
-    double suspicion = 0.15;
-    /// The same for idempotent ones, whose failure costs a repeat only.
-    double idempotent_suspicion = 0.5;
-};
-
 struct book_options {
     belief_options belief;
+    valuation_options value;
     /// Time from a failure to the first trial by an idempotent request.
     duration trial_after = std::chrono::milliseconds(1'500);
     /// Time after which another daemon may try again when the outcome of a
@@ -56,10 +34,6 @@
     duration unreachable_hold_max = std::chrono::seconds(8);
     /// A target that was full is used after others for this long.
     duration full_hold = std::chrono::milliseconds(300);
-    /// Load that a target in a cold start seems to have on top, in requests.
-    double cold_penalty = 2;
-    /// Load that a target in another failure domain seems to have on top.
-    double crossing_penalty = 0.5;
     /// Time after which a leaving target must get no new work.
     duration leaving_limit = std::chrono::seconds(2);
     /// Part of that limit for which a target whose entry vanished is used,
@@ -72,18 +46,11 @@
     double lapsed_share = 0.92;
     double mass_loss_share = 0.3;
     std::size_t mass_loss_targets = 2;
-    /// Share of the slots of the targets that are not suspected above which
-    /// suspected ones serve too. Above 1, as a request that waits in a queue
-    /// mostly succeeds and one at a failing target mostly doesn't.
-    double crowded_utilisation = 1.6;
-    /// Suspected targets that are likelier to fail than this never do.
-    double worst_admitted = 0.4;
-    /// The same for idempotent requests, which a failing target mostly
-    /// refuses at once and which may then go to another.
-    double idempotent_crowded_utilisation = 1.5;
     /// Share of a service's slots in use up to which there is room for
     /// requests that are sent twice and for holding targets off on a doubt.
     double room_utilisation = 0.55;
+    /// What a peer told of its requests at a target counts for this long.
+    duration activity_memory = std::chrono::seconds(5);
 };
 
 /// What a daemon tells its peers about a target.
@@ -105,9 +72,23 @@
     bool operator==(target_notice const&) const = default;
 };
 
+/// Requests that one daemon, or the daemons of one failure domain together,
+/// have at a target at the moment.
+struct target_activity {
+    target_id target;
+    std::int64_t started_ms = 0; ///< the life of the target that is meant
+    std::uint32_t in_flight = 0;
+
+    bool operator==(target_activity const&) const = default;
+};
+
 struct choice_request {
     service_id service;
     bool idempotent = false;
+    /// May go to one more target after a failure.
+    bool repeatable = false;
+    duration time_left = std::chrono::hours(1);
+    duration objective_left = std::chrono::hours(1);
     std::vector<target_id> exclude; ///< already tried
 };
 
@@ -115,6 +96,7 @@
     discovered_target target;
     bool trial = false;     ///< the target is suspected and put to the test
     bool suspected = false; ///< chosen for lack of any better one
+    bool queued = false;    ///< all its slots are in use
     std::optional<target_notice> notice;
 };
 
@@ -149,12 +131,11 @@
 /// What this daemon believes about each target, and the choice of a target.
 ///
 /// A single failure suspects a target at once, here and, by a notice, on all
-/// daemons. Non-idempotent requests avoid suspected targets as long as the
-/// others have room; after a short pause one idempotent request at a time,
-/// over the whole fleet, tries the target, and some successes free it
-/// everywhere. When too few targets are left for the load, those that are
-/// least likely to fail serve as well, so that suspicion alone never empties
-/// a service.
+/// daemons. A request goes where its expected worth is highest: a failing
+/// target is worth little, and so is one whose queue takes the time that the
+/// request has left; suspicion alone never empties a service. After a short
+/// pause one idempotent request at a time, over the whole fleet, tries a
+/// suspected target, and some successes free it everywhere.
 class target_book {
 public:
     target_book(failure_domain_id own_domain, std::uint64_t seed,
@@ -191,22 +172,45 @@
     void on_address_taken(target_id const& id);
 
     void on_peer(target_notice const& notice, time_point now);
+    /// What a daemon of this failure domain has at a target.
+    void on_peer_activity(daemon_id const& peer,
+                          target_activity const& activity, time_point now);
+    /// What all daemons of another failure domain have; targets that are left
+    /// out have nothing of theirs.
+    void on_domain_activity(failure_domain_id const& domain,
+                            std::vector<target_activity> const& activities,
+                            time_point now);
+    /// What this daemon has at a target, for its peers.
+    std::optional<target_activity> activity(target_id const& id) const;
+    /// What the daemons of this failure domain have, the most loaded targets
+    /// first.
+    std::vector<target_activity> domain_activity(time_point now) const;
 
     /// Requests per second that the whole fleet sends to the service.
     void set_fleet_rate(service_id const& service, double per_second);
-    /// Time that a successful attempt took.
-    void on_service_time(service_id const& service, duration taken);
+    /// A good answer: the time that it took, whether it had to wait for a
+    /// slot, and its size.
+    void on_answer(service_id const& service, duration taken, bool queued,
+                   std::size_t bytes);
 
+    /// Usual time to an answer that waits for no slot; 0: unknown.
+    duration service_time(service_id const& service) const;
     std::size_t size(service_id const& service) const;
     std::size_t size() const { return records_.size(); }
     std::vector<target_belief> beliefs(time_point now) const;
 
 private:
+    struct peer_load {
+        std::uint32_t in_flight = 0;
+        time_point told{};
+    };
+
     struct record {
         discovered_target info;
-        std::uint32_t in_flight = 0;
-        double failing = 0; ///< probability at `believed_at`
-        time_point believed_at{};
+        std::uint32_t in_flight = 0;          ///< of this daemon
+        std::map<daemon_id, peer_load> peers; ///< of this failure domain
+        std::map<failure_domain_id, peer_load> domains; ///< the others
+        placement::belief belief;
         std::optional<time_point> suspected_since;
         time_point next_trial{};
         time_point unreachable_until{};
@@ -221,16 +225,24 @@
         bool unreachable(time_point now) const;
     };
 
+    /// Mean of the last values; the first ones count alike.
+    struct smoothed_mean {
+        double value = 0;
+        double values = 0;
+
+        void add(double one);
+    };
+
     struct service_load {
-        double fleet_rate = 0;      ///< requests per second
-        double service_seconds = 0; ///< smoothed; 0: unknown
+        double fleet_rate = 0; ///< requests per second
+        smoothed_mean service_seconds;
+        smoothed_mean answer_bytes;
     };
 
     struct ranked {
         record* entry = nullptr;
-        int tier = 0; ///< lower is better
-        double load = 0;
-        double failing = 0; ///< probability
+        int tier = 0;     ///< lower is better
+        double worth = 0; ///< expected, of the request at this target
     };
 
     record* find(target_id const& id);
@@ -239,8 +251,13 @@
     std::vector<record*> candidates(choice_request const& wanted,
                                     time_point now);
     ranked rank(record& entry, choice_request const& wanted,
+                demand const& request, time_point now) const;
+    int tier_of(record const& entry, choice_request const& wanted,
                 time_point now) const;
-    double load_of(record const& entry, time_point now) const;
+    std::uint32_t domain_in_flight(record const& entry, time_point now) const;
+    double in_flight(record const& entry, time_point now) const;
+    demand demand_of(choice_request const& wanted) const;
+    offer offer_of(record const& entry, time_point now) const;
     std::vector<record*> newly_missing(std::set<target_id> const& present);
     bool mass_loss(record const& entry,
                    std::set<target_id> const& present) const;
@@ -253,9 +270,6 @@
     void suspect(record& entry, time_point now);
     /// Slots that the service's requests take up over the whole fleet.
     double busy_slots(service_id const& service) const;
-    /// Lets the likeliest suspected targets serve when the rest is crowded.
-    void admit_suspected(std::vector<ranked>& targets,
-                         choice_request const& wanted) const;
 
     failure_domain_id own_domain_;
     book_options options_;
--- /dev/null
+++ b/src/yuccabeam/bench/placement_bench.cpp
@@ -0,0 +1,142 @@
+#include "placement_world.hpp"
+
+#include <cmath>
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+DEFINE_string(scenario, "", "run only scenarios whose name begins so");
+DEFINE_int32(seeds, 32, "runs of each scenario");
+DEFINE_int32(digest_ms, 100, "period of what failure domains tell each other");
+DEFINE_string(set, "", "options to change, as name=value,name=value");
+
+using namespace yuccabeam;
+using namespace yuccabeam::bench;
+
+namespace {
+
+void add(class_result& sum, class_result const& one) {
+    sum.asked += one.asked;
+    sum.in_objective += one.in_objective;
+    sum.late += one.late;
+    sum.refused += one.refused;
+    sum.failed += one.failed;
+}
+
+struct options {
+    placement::book_options book;
+    placement::course_options course;
+};
+
+std::map<std::string, double*> settable(options& of) {
+    auto& belief = of.book.belief;
+    return {{"prior", &belief.prior},
+            {"failure_factor", &belief.failure_factor},
+            {"doubt_factor", &belief.doubt_factor},
+            {"crowded_doubt_factor", &belief.crowded_doubt_factor},
+            {"success_factor", &belief.success_factor},
+            {"lowest", &belief.lowest},
+            {"highest", &belief.highest},
+            {"suspicion", &belief.suspicion},
+            {"late_worth", &of.book.value.late_worth},
+            {"spread", &of.book.value.spread},
+            {"repeat_cost", &of.book.value.repeat_cost},
+            {"load_cost", &of.book.value.load_cost},
+            {"crossing_cost_per_mb", &of.book.value.crossing_cost_per_mb},
+            {"least_crossing_cost", &of.book.value.least_crossing_cost},
+            {"room_utilisation", &of.book.room_utilisation},
+            {"hedge_share", &of.course.hedge_share},
+            {"overdue_share", &of.course.overdue_share},
+            {"overdue_factor", &of.course.overdue_factor}};
+}
+
+std::map<std::string, duration*> settable_times(options& of) {
+    return {{"memory_s", &of.book.belief.memory},
+            {"trial_after_s", &of.book.trial_after},
+            {"trial_interval_s", &of.book.trial_interval},
+            {"trial_pause_s", &of.book.trial_pause}};
+}
+
+bool apply_settings(std::string const& text, options& to) {
+    auto const numbers = settable(to);
+    auto const times = settable_times(to);
+    std::istringstream parts(text);
+    for (std::string part; std::getline(parts, part, ',');) {
+        auto const at = part.find('=');
+        auto const name = part.substr(0, at);
+        auto const value =
+            at == std::string::npos ? 0 : std::strtod(&part[at + 1], nullptr);
+        if (auto const found = numbers.find(name); found != numbers.end())
+            *found->second = value;
+        else if (auto const time = times.find(name); time != times.end())
+            *time->second = from_seconds(value);
+        else
+            return false;
+    }
+    return true;
+}
+
+// Share of what the requests are worth that was earned: late answers count
+// for a part, and failures on a logarithmic scale besides.
+double worth(class_result const& result) {
+    constexpr double late_worth = 0.4;
+    constexpr double best_failed_share = 0.005;
+    if (result.asked == 0)
+        return 0;
+    auto const asked = static_cast<double>(result.asked);
+    double const earned = (static_cast<double>(result.in_objective) +
+                           late_worth * static_cast<double>(result.late)) /
+                          asked;
+    double const failed = std::max(result.failed_share(), best_failed_share);
+    return (earned + std::log(failed) / std::log(best_failed_share)) / 2;
+}
+
+nlohmann::json report(class_result const& result) {
+    return {{"asked", result.asked},
+            {"worth", worth(result)},
+            {"failed_share", result.failed_share()},
+            {"late_share", result.late_share()},
+            {"refused", result.refused}};
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage(
+        "what callers get from the gateway's decisions, in virtual time");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    options chosen;
+    if (!apply_settings(FLAGS_set, chosen)) {
+        std::cerr << "unknown option in --set\n";
+        return 2;
+    }
+    for (auto scenario : placement_scenarios()) {
+        if (!scenario.name.starts_with(FLAGS_scenario))
+            continue;
+        placement_result sum;
+        for (int seed = 1; seed <= FLAGS_seeds; ++seed) {
+            scenario.digest_period = std::chrono::milliseconds(FLAGS_digest_ms);
+            scenario.seed = static_cast<std::uint64_t>(seed);
+            auto const one =
+                run_placement(scenario, chosen.book, chosen.course);
+            add(sum.non_idempotent, one.non_idempotent);
+            add(sum.idempotent, one.idempotent);
+            for (auto const& [reason, count] : one.reasons)
+                sum.reasons[reason] += count;
+            sum.repeat_share += one.repeat_share / FLAGS_seeds;
+            sum.crossing_share += one.crossing_share / FLAGS_seeds;
+        }
+        nlohmann::json const line = {
+            {"scenario", scenario.name},
+            {"non_idempotent", report(sum.non_idempotent)},
+            {"idempotent", report(sum.idempotent)},
+            {"reasons", sum.reasons},
+            {"repeat_share", sum.repeat_share},
+            {"crossing_share", sum.crossing_share}};
+        std::cout << line.dump() << "\n";
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -0,0 +1,555 @@
+#include "placement_world.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <list>
+
+namespace yuccabeam::bench {
+
+namespace {
+
+using placement::attempt_outcome;
+using placement::course_action;
+using placement::course_step;
+
+constexpr duration local_link = std::chrono::microseconds(200);
+constexpr duration near_heartbeat = std::chrono::seconds(1);
+constexpr duration far_heartbeat = std::chrono::seconds(3);
+constexpr duration check_work = std::chrono::milliseconds(20);
+constexpr duration check_timeout = std::chrono::seconds(1);
+constexpr double tail_share = 0.01;
+constexpr double tail_factor = 5;
+constexpr std::size_t slots = 6;
+constexpr std::size_t queue_limit = 24;
+
+struct request {
+    std::size_t daemon = 0;
+    bool idempotent = false;
+    time_point arrived{};
+    duration work{};
+    bool has_error = false; ///< fails wherever it runs
+    bool counted = false;
+    std::unique_ptr<placement::request_course> course;
+};
+
+struct job {
+    std::shared_ptr<request> from;
+    std::size_t attempt = 0;
+    bool cancelled = false;
+    bool running = false;
+};
+
+struct server {
+    std::size_t domain = 0;
+    bool failing = false;
+    target_trouble trouble = target_trouble::none;
+    double trouble_share = 0;
+    double slow_factor = 1;
+    std::size_t busy = 0;
+    std::deque<std::shared_ptr<job>> queue = {};
+};
+
+struct entry_vm {
+    std::size_t domain = 0;
+    std::unique_ptr<placement::target_book> book;
+    std::unique_ptr<placement::repeat_budget> budget;
+};
+
+std::string domain_name(std::size_t domain) {
+    return "d" + std::to_string(domain);
+}
+
+service_id const service{"svc"};
+
+class world {
+public:
+    world(placement_scenario const& scenario,
+          placement::book_options const& book,
+          placement::course_options const& course)
+        : scenario_(scenario), course_options_(course), random_(scenario.seed) {
+        std::vector<discovered_target> list;
+        for (std::size_t i = 0; i < scenario.targets; ++i) {
+            servers_.push_back({i % scenario.domains});
+            discovered_target target;
+            target.target = {{std::to_string(i)},
+                             service,
+                             {domain_name(i % scenario.domains)},
+                             "",
+                             slots,
+                             330};
+            list.push_back(target);
+        }
+        for (std::size_t i = 0; i < scenario.daemons; ++i) {
+            entry_vm vm;
+            vm.domain = i % scenario.domains;
+            vm.book = std::make_unique<placement::target_book>(
+                failure_domain_id{domain_name(vm.domain)}, random_(), book);
+            vm.budget = std::make_unique<placement::repeat_budget>();
+            vm.book->replace(list, false, now_);
+            daemons_.push_back(std::move(vm));
+        }
+    }
+
+    placement_result run() {
+        for (std::size_t i = 0; i < servers_.size(); ++i)
+            turn(i);
+        for (auto const& period : scenario_.troubles)
+            plan(period);
+        for (std::size_t i = 0; i < daemons_.size(); ++i)
+            heartbeat(i, 0);
+        for (std::size_t i = 0; i < scenario_.domains; ++i)
+            digest(i);
+        tick();
+        next_request(true);
+        next_request(false);
+        next_check();
+        auto const end = time_point{} + scenario_.length;
+        while (!events_.empty() && events_.top().when < end) {
+            auto const event = events_.top();
+            events_.pop();
+            now_ = event.when;
+            event.run();
+        }
+        auto const asked = std::max<double>(
+            1, static_cast<double>(result_.non_idempotent.asked +
+                                   result_.idempotent.asked));
+        result_.repeat_share = static_cast<double>(repeats_) / asked;
+        result_.crossing_share =
+            static_cast<double>(crossings_) /
+            std::max<double>(1, static_cast<double>(result_.arrivals));
+        return result_;
+    }
+
+private:
+    struct event {
+        time_point when;
+        std::uint64_t sequence;
+        std::function<void()> run;
+        bool operator<(event const& other) const {
+            return std::pair(other.when, other.sequence) <
+                   std::pair(when, sequence);
+        }
+    };
+
+    void after(duration delay, std::function<void()> run) {
+        events_.push({now_ + delay, sequence_++, std::move(run)});
+    }
+
+    double uniform() {
+        return std::uniform_real_distribution<double>(0, 1)(random_);
+    }
+    bool happens(double probability) { return uniform() < probability; }
+    duration exponential(duration mean) {
+        return from_seconds(std::exponential_distribution<double>(
+            1 / to_seconds(mean))(random_));
+    }
+    duration link(std::size_t a, std::size_t b) const {
+        return a == b ? local_link : scenario_.link;
+    }
+
+    // --- targets ------------------------------------------------------------
+
+    void turn(std::size_t target) {
+        servers_[target].failing = happens(scenario_.failing_share);
+        after(exponential(scenario_.turn_period),
+              [this, target] { turn(target); });
+    }
+
+    void plan(trouble_period const& period) {
+        after(period.from, [this, period] {
+            for (std::size_t i = 0; i < period.targets; ++i) {
+                servers_[i].trouble = period.kind;
+                servers_[i].trouble_share = period.share;
+                servers_[i].slow_factor = period.slow_factor;
+            }
+        });
+        after(period.from + period.length, [this, period] {
+            for (std::size_t i = 0; i < period.targets; ++i) {
+                servers_[i].trouble = target_trouble::none;
+                servers_[i].slow_factor = 1;
+            }
+        });
+    }
+
+    void arrive(std::size_t target, std::shared_ptr<job> const& work) {
+        auto& to = servers_[target];
+        count_arrival(to, *work);
+        if (work->cancelled)
+            return;
+        if (to.failing && happens(scenario_.failing_resets)) {
+            ++result_.resets;
+            respond(target, work, attempt_outcome::reset);
+            return;
+        }
+        bool const hit = happens(to.trouble_share);
+        if (hit && to.trouble == target_trouble::reset)
+            respond(target, work, attempt_outcome::reset);
+        else if (hit && to.trouble == target_trouble::shed)
+            respond(target, work, attempt_outcome::not_run);
+        else if (hit && to.trouble == target_trouble::hang)
+            return;
+        else if (to.busy < slots)
+            begin(target, work);
+        else if (to.queue.size() < queue_limit)
+            to.queue.push_back(work);
+        else
+            respond(target, work, attempt_outcome::not_run);
+        result_.longest_queue = std::max(result_.longest_queue,
+                                         static_cast<double>(to.queue.size()));
+    }
+
+    void count_arrival(server const& to, job const& work) {
+        if (!work.from->counted)
+            return;
+        ++result_.arrivals;
+        crossings_ += to.domain != daemons_[work.from->daemon].domain;
+        repeats_ += work.attempt > 0;
+    }
+
+    void begin(std::size_t target, std::shared_ptr<job> const& work) {
+        ++servers_[target].busy;
+        work->running = true;
+        after(work_time(target, *work), [this, target, work] {
+            if (!work->running)
+                return;
+            work->running = false;
+            bool const error =
+                work->from->has_error ||
+                (servers_[target].trouble == target_trouble::errors &&
+                 happens(servers_[target].trouble_share));
+            respond(target, work,
+                    error ? attempt_outcome::target_error
+                          : attempt_outcome::success);
+            release(target);
+        });
+    }
+
+    duration work_time(std::size_t target, job const& work) const {
+        auto const& at = servers_[target];
+        double const busy = static_cast<double>(at.busy) / slots;
+        double const crowd =
+            1 + scenario_.full_slowdown * std::max(0.0, 2 * busy - 1);
+        return from_seconds(to_seconds(work.from->work) * crowd *
+                            at.slow_factor);
+    }
+
+    void release(std::size_t target) {
+        auto& of = servers_[target];
+        --of.busy;
+        while (!of.queue.empty()) {
+            auto const next = of.queue.front();
+            of.queue.pop_front();
+            if (next->cancelled)
+                continue;
+            begin(target, next);
+            return;
+        }
+    }
+
+    void cancel(std::size_t target, std::shared_ptr<job> const& work) {
+        work->cancelled = true;
+        if (std::exchange(work->running, false))
+            release(target);
+    }
+
+    void respond(std::size_t target, std::shared_ptr<job> const& work,
+                 attempt_outcome outcome) {
+        auto const back =
+            link(servers_[target].domain, daemons_[work->from->daemon].domain);
+        after(back, [this, work, outcome] {
+            auto& course = *work->from->course;
+            if (!course.ended() && course.attempts()[work->attempt].running)
+                follow(work->from,
+                       course.on_attempt_end(work->attempt, outcome, now_,
+                                             scenario_.answer_bytes));
+        });
+    }
+
+    // --- requests -----------------------------------------------------------
+
+    // Requests that operators' tools send to see what is in force: little
+    // work, little time.
+    void next_check() {
+        if (scenario_.checks_per_s <= 0)
+            return;
+        after(exponential(from_seconds(1 / scenario_.checks_per_s)), [this] {
+            submit(scenario_.non_idempotent_per_s <= 0, true);
+            next_check();
+        });
+    }
+
+    void next_request(bool idempotent) {
+        auto const rate = idempotent ? scenario_.idempotent_per_s
+                                     : scenario_.non_idempotent_per_s;
+        if (rate <= 0)
+            return;
+        after(exponential(from_seconds(1 / rate)), [this, idempotent] {
+            submit(idempotent, false);
+            next_request(idempotent);
+        });
+    }
+
+    duration draw_work() {
+        auto const sigma = scenario_.work_spread;
+        std::lognormal_distribution<double> spread(-sigma * sigma / 2, sigma);
+        auto const factor =
+            spread(random_) * (happens(tail_share) ? tail_factor : 1);
+        return from_seconds(to_seconds(scenario_.work) * factor);
+    }
+
+    void submit(bool idempotent, bool check) {
+        auto from = std::make_shared<request>();
+        from->daemon = random_() % daemons_.size();
+        from->idempotent = idempotent;
+        from->arrived = now_;
+        from->work = check ? check_work : draw_work();
+        from->has_error = happens(scenario_.error_share);
+        auto const end = time_point{} + scenario_.length;
+        from->counted = !check && now_ + scenario_.timeout < end;
+        auto const timeout = check ? check_timeout : scenario_.timeout;
+        auto& vm = daemons_[from->daemon];
+        placement::course_request wanted;
+        wanted.service = service;
+        wanted.idempotent = idempotent;
+        wanted.max_attempts = 2;
+        wanted.latency_objective = scenario_.objective;
+        wanted.deadline = now_ + timeout;
+        from->course = std::make_unique<placement::request_course>(
+            wanted,
+            placement::course_parts{*vm.book, *vm.budget,
+                                    [this, &vm](time_point now) {
+                                        return vm.budget->allows(
+                                            now, daemons_.size(),
+                                            daemons_.size() - 1);
+                                    }},
+            course_options_);
+        if (from->counted)
+            ++result_of(*from).asked;
+        after(timeout, [this, from] {
+            if (!from->course->ended())
+                follow(from, from->course->on_deadline(now_));
+        });
+        follow(from, from->course->start(now_));
+    }
+
+    void follow(std::shared_ptr<request> const& from, course_step const& step) {
+        for (auto const& news : step.news)
+            tell(from->daemon, news);
+        for (auto const& activity : step.activity)
+            tell_near(from->daemon, activity);
+        if (step.action == course_action::send)
+            send(from, step.attempt);
+        if (!from->course->ended())
+            return;
+        count_end(*from, step);
+        cancel_jobs(*from);
+    }
+
+    void send(std::shared_ptr<request> const& from, std::size_t attempt) {
+        auto const target = static_cast<std::size_t>(
+            std::stoul(from->course->attempts()[attempt].to.id.value));
+        auto const work = std::make_shared<job>(job{from, attempt});
+        jobs_[from.get()].push_back({target, work});
+        auto const there =
+            link(servers_[target].domain, daemons_[from->daemon].domain);
+        after(there, [this, target, work] { arrive(target, work); });
+        if (auto const due = from->course->next_check())
+            after(*due - now_, [this, from] {
+                if (!from->course->ended() &&
+                    from->course->next_check() == now_)
+                    follow(from, from->course->on_check(now_));
+            });
+    }
+
+    void cancel_jobs(request const& from) {
+        auto const found = jobs_.find(&from);
+        if (found == jobs_.end())
+            return;
+        for (auto const& [target, work] : found->second)
+            after(
+                link(servers_[target].domain, daemons_[from.daemon].domain),
+                [this, target = target, work = work] { cancel(target, work); });
+        jobs_.erase(found);
+    }
+
+    class_result& result_of(request const& from) {
+        return from.idempotent ? result_.idempotent : result_.non_idempotent;
+    }
+
+    void count_end(request const& from, course_step const& step) {
+        if (!from.counted)
+            return;
+        auto& result = result_of(from);
+        if (!from.course->succeeded())
+            ++result_.reasons[step.action == course_action::end
+                                  ? std::string(step.reason)
+                                  : "target_error"];
+        if (from.course->succeeded())
+            ++(now_ - from.arrived <= scenario_.objective ? result.in_objective
+                                                          : result.late);
+        else if (!from.course->may_have_run())
+            ++result.refused;
+        else
+            ++result.failed;
+    }
+
+    // --- daemons ------------------------------------------------------------
+
+    void message(std::size_t from, std::size_t to, std::function<void()> run) {
+        if (happens(scenario_.message_loss))
+            return;
+        after(link(daemons_[from].domain, daemons_[to].domain), std::move(run));
+    }
+
+    void tell(std::size_t from, placement::course_news const& news) {
+        for (std::size_t to = 0; to < daemons_.size(); ++to)
+            if (to != from)
+                message(from, to, [this, to, news] {
+                    if (news.notice)
+                        daemons_[to].book->on_peer(*news.notice, now_);
+                    if (news.repeated)
+                        daemons_[to].budget->on_peer_repeat(now_);
+                });
+    }
+
+    void tell_near(std::size_t from,
+                   placement::target_activity const& activity) {
+        for (std::size_t to = 0; to < daemons_.size(); ++to)
+            if (to != from && daemons_[to].domain == daemons_[from].domain)
+                message(from, to, [this, from, to, activity] {
+                    daemons_[to].book->on_peer_activity({std::to_string(from)},
+                                                        activity, now_);
+                });
+    }
+
+    // A daemon of each failure domain tells the others what its domain has at
+    // each target.
+    void digest(std::size_t domain) {
+        // Each daemon tells in turn.
+        std::size_t from = random_() % daemons_.size();
+        while (daemons_[from].domain != domain)
+            from = (from + 1) % daemons_.size();
+        auto const totals = daemons_[from].book->domain_activity(now_);
+        for (std::size_t to = 0; to < daemons_.size(); ++to)
+            if (daemons_[to].domain != domain)
+                message(from, to, [this, domain, to, totals] {
+                    daemons_[to].book->on_domain_activity({domain_name(domain)},
+                                                          totals, now_);
+                });
+        after(scenario_.digest_period, [this, domain] { digest(domain); });
+    }
+
+    void heartbeat(std::size_t from, std::size_t count) {
+        auto const counts = daemons_[from].budget->own(now_);
+        bool const far = count % (far_heartbeat / near_heartbeat) == 0;
+        for (std::size_t to = 0; to < daemons_.size(); ++to)
+            if (to != from &&
+                (far || daemons_[to].domain == daemons_[from].domain))
+                message(from, to, [this, from, to, counts] {
+                    daemons_[to].budget->on_peer({std::to_string(from)}, counts,
+                                                 now_);
+                });
+        after(near_heartbeat,
+              [this, from, count] { heartbeat(from, count + 1); });
+    }
+
+    void tick() {
+        for (auto& vm : daemons_)
+            vm.book->set_fleet_rate(service,
+                                    vm.budget->fleet_requests(now_) /
+                                        to_seconds(vm.budget->window()));
+        after(std::chrono::milliseconds(250), [this] { tick(); });
+    }
+
+    placement_scenario const& scenario_;
+    placement::course_options course_options_;
+    std::mt19937_64 random_;
+    std::priority_queue<event> events_;
+    std::uint64_t sequence_ = 0;
+    time_point now_{};
+    std::vector<server> servers_;
+    std::vector<entry_vm> daemons_;
+    std::map<request const*,
+             std::vector<std::pair<std::size_t, std::shared_ptr<job>>>>
+        jobs_;
+    std::uint64_t crossings_ = 0;
+    std::uint64_t repeats_ = 0;
+    placement_result result_;
+};
+
+double share(std::uint64_t part, std::uint64_t whole) {
+    return whole == 0 ? 0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+} // namespace
+
+double class_result::failed_share() const {
+    return share(failed + refused, asked);
+}
+
+double class_result::late_share() const {
+    return share(late, asked);
+}
+
+placement_result run_placement(placement_scenario const& scenario,
+                               placement::book_options const& book,
+                               placement::course_options const& course) {
+    return world(scenario, book, course).run();
+}
+
+std::vector<placement_scenario> const& placement_scenarios() {
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    static std::vector<placement_scenario> const all = [] {
+        std::vector<placement_scenario> out;
+        placement_scenario orders;
+        orders.name = "orders_calm";
+        orders.non_idempotent_per_s = 37;
+        orders.idempotent_per_s = 4;
+        out.push_back(orders);
+        orders.name = "orders_usual";
+        orders.non_idempotent_per_s = 62;
+        orders.idempotent_per_s = 5;
+        out.push_back(orders);
+        orders.name = "orders_heavy";
+        orders.non_idempotent_per_s = 84;
+        orders.idempotent_per_s = 7;
+        out.push_back(orders);
+        auto faults = orders;
+        faults.name = "orders_faults";
+        faults.non_idempotent_per_s = 62;
+        faults.troubles = {
+            {target_trouble::hang, 0.65, 1, seconds(4), seconds(5)},
+            {target_trouble::errors, 0.5, 2, seconds(12), seconds(5)},
+            {target_trouble::hang, 0.65, 1, seconds(24), seconds(5)}};
+        out.push_back(faults);
+        auto slow = orders;
+        slow.name = "orders_slow";
+        slow.non_idempotent_per_s = 62;
+        slow.troubles = {
+            {target_trouble::slow, 0, 6, seconds(12), seconds(9), 12}};
+        out.push_back(slow);
+        auto shed = orders;
+        shed.name = "orders_shed_all";
+        shed.troubles = {{target_trouble::shed, 0.55, shed.targets, seconds(12),
+                          milliseconds(8'500)}};
+        out.push_back(shed);
+        placement_scenario stock;
+        stock.name = "stock_usual";
+        stock.targets = 7;
+        stock.non_idempotent_per_s = 0;
+        stock.idempotent_per_s = 24;
+        stock.work = milliseconds(630);
+        stock.work_spread = 0.5;
+        stock.timeout = seconds(3);
+        out.push_back(stock);
+        stock.name = "stock_heavy";
+        stock.idempotent_per_s = 36;
+        out.push_back(stock);
+        return out;
+    }();
+    return all;
+}
+
+} // namespace yuccabeam::bench
--- /dev/null
+++ b/src/yuccabeam/bench/placement_world.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "yuccabeam/placement/repeat_budget.hpp"
+#include "yuccabeam/placement/request_course.hpp"
+#include "yuccabeam/placement/target_book.hpp"
+#include "yuccabeam/values/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+/// One service of a deployment in virtual time: the gateway's decisions on
+/// all daemons, and targets that fail gray in turns. No sockets, no threads.
+namespace yuccabeam::bench {
+
+/// How some targets fail while their health looks good.
+enum class target_trouble : std::uint8_t {
+    none,
+    reset,
+    hang,
+    errors,
+    shed,
+    slow
+};
+
+struct trouble_period {
+    target_trouble kind = target_trouble::none;
+    double share = 1;        ///< of the requests that it hits
+    std::size_t targets = 1; ///< first ones in order
+    duration from{};
+    duration length{};
+    double slow_factor = 1; ///< on the work time, for `slow`
+};
+
+struct placement_scenario {
+    std::string name;
+    std::size_t daemons = 32;
+    std::size_t domains = 3;
+    duration link = std::chrono::milliseconds(3); ///< between domains, one way
+    std::size_t targets = 15;
+    double non_idempotent_per_s = 60;
+    double idempotent_per_s = 5;
+    double checks_per_s = 8;
+    duration work = std::chrono::milliseconds(480); ///< mean
+    double work_spread = 0.3; ///< sigma of the log-normal work time
+    duration objective = std::chrono::seconds(2);
+    duration timeout = std::chrono::seconds(4);
+    /// Part by which work takes longer at a target with all slots in use;
+    /// from half of them on it grows in proportion.
+    double full_slowdown = 0.15;
+    std::size_t answer_bytes = 5'000;
+    double error_share = 0.012; ///< requests that fail wherever they run
+    /// Each target turns over after a period of this mean and is then
+    /// failing with the given probability.
+    duration turn_period = std::chrono::seconds(9);
+    double failing_share = 0.3;
+    double failing_resets = 0.85; ///< requests that a failing target resets
+    std::vector<trouble_period> troubles;
+    duration length = std::chrono::seconds(40);
+    /// Between what a failure domain tells the others of its load.
+    duration digest_period = std::chrono::milliseconds(100);
+    double message_loss = 0.001;
+    std::uint64_t seed = 1;
+};
+
+struct class_result {
+    std::uint64_t asked = 0;
+    std::uint64_t in_objective = 0;
+    std::uint64_t late = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+
+    double failed_share() const;
+    double late_share() const;
+};
+
+struct placement_result {
+    class_result non_idempotent;
+    class_result idempotent;
+    std::uint64_t arrivals = 0; ///< requests that reached a target
+    std::uint64_t resets = 0;
+    double longest_queue = 0;
+    double crossing_share = 0; ///< arrivals from another failure domain
+    double repeat_share = 0;   ///< arrivals beyond the first, of requests
+    std::map<std::string, std::uint64_t> reasons; ///< of requests that failed
+};
+
+/// Runs a scenario from the start of all daemons on.
+placement_result run_placement(placement_scenario const& scenario,
+                               placement::book_options const& book = {},
+                               placement::course_options const& course = {});
+
+std::vector<placement_scenario> const& placement_scenarios();
+
+} // namespace yuccabeam::bench
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -264,6 +264,15 @@
         if (!store->take(message.changes))
             store->pull(message.control, boot_now());
     };
+    out.on_activity = [this](activity_message const& message) {
+        for (auto const& activity : message.targets)
+            book.on_peer_activity(message.sender, activity, boot_now());
+    };
+    out.on_domain_activity = [this](domain_activity_message const& message) {
+        book.on_domain_activity(message.failure_domain, message.targets,
+                                boot_now());
+    };
+    out.domain_activity = [this] { return book.domain_activity(boot_now()); };
     out.on_malformed = [this] { counters.count("peer_messages_rejected"); };
     return out;
 }
@@ -332,8 +341,17 @@
 // --- requests ----------------------------------------------------------------
 
 exchange_parts implementation::make_parts() {
-    exchange_parts out{context.get_executor(), targets, book, log, counters,
-                       formats.headers,        random,  {},   {},  {}};
+    exchange_parts out{context.get_executor(),
+                       targets,
+                       book,
+                       log,
+                       counters,
+                       formats.headers,
+                       random,
+                       {},
+                       {},
+                       {},
+                       {}};
     out.budget = [this](service_id const& id) { return &budget(id); };
     out.may_repeat = [this](service_id const& id, time_point now) {
         return may_repeat(id, now);
@@ -341,6 +359,9 @@
     out.tell = [this](std::optional<placement::target_notice> const& notice,
                       service_id const& service,
                       bool repeated) { tell(notice, service, repeated); };
+    out.tell_activity = [this](placement::target_activity const& activity) {
+        peers.tell_activity(activity, boot_now());
+    };
     return out;
 }
 
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -127,6 +127,8 @@
     void follow(course_step const& step) {
         for (auto const& news : step.news)
             parts_.tell(news.notice, service_, news.repeated);
+        for (auto const& activity : step.activity)
+            parts_.tell_activity(activity);
         switch (step.action) {
         case course_action::wait:
             break;
@@ -214,7 +216,8 @@
         auto const now = boot_now();
         auto const outcome =
             judge(result, parts_.headers, course_.was_late(attempt, now));
-        auto const step = course_.on_attempt_end(attempt, outcome, now);
+        auto const step =
+            course_.on_attempt_end(attempt, outcome, now, result.body.size());
         count_attempt(attempt, outcome);
         if (outcome != attempt_outcome::success)
             log_attempt(attempt, outcome, result, step.decision);
@@ -263,7 +266,7 @@
         parts_.counters.count("callers_gone");
         log_end("caller_gone",
                 course_.running() == 0 ? "before_sending" : "at_target");
-        course_.abandon();
+        follow(course_.abandon());
         close();
     }
 
--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -15,6 +15,14 @@
 // Those that follow the store are missed sooner; see `peer_table`.
 constexpr duration watcher_heartbeat_period = std::chrono::milliseconds(400);
 constexpr std::size_t max_datagram_bytes = 1'200;
+// Least time between two messages about this daemon's requests for each
+// daemon that hears them; more of them would take up a small VM.
+constexpr duration activity_period_per_peer = std::chrono::microseconds(500);
+// A failure domain tells the others of its load about this often; each of its
+// daemons does so in turn.
+constexpr duration domain_activity_period = std::chrono::milliseconds(100);
+// Targets in one message about load: a datagram holds about this many.
+constexpr std::size_t max_activities = 35;
 
 } // namespace
 
@@ -69,6 +77,10 @@
 }
 
 void peer_link::tick(time_point now) {
+    if (!activity_.empty() && now >= next_activity_)
+        send_activity(now);
+    if (now >= next_domain_activity_)
+        send_domain_activity(now);
     if (now < next_heartbeat_)
         return;
     table_.forget_silent(now);
@@ -90,6 +102,48 @@
     send_all(belief_message{{options_.address}, notice, service, repeated});
 }
 
+void peer_link::tell_activity(placement::target_activity const& activity,
+                              time_point now) {
+    activity_[activity.target] = activity;
+    if (now >= next_activity_)
+        send_activity(now);
+}
+
+void peer_link::send_activity(time_point now) {
+    activity_message message{{options_.address}, {}};
+    for (auto at = activity_.begin();
+         at != activity_.end() && message.targets.size() < max_activities;
+         at = activity_.erase(at))
+        message.targets.push_back(at->second);
+    auto const peers = table_.near_addresses(now);
+    next_activity_ = now + activity_period_per_peer * peers.size();
+    auto const bytes = encode(message);
+    for (auto const& address : peers)
+        transport_->send(bytes, address);
+}
+
+void peer_link::send_domain_activity(time_point now) {
+    auto const near = table_.near_addresses(now).size();
+    next_domain_activity_ = now + domain_activity_period * (near + 1);
+    domain_activity_message message{{options_.address},
+                                    options_.failure_domain,
+                                    true,
+                                    callbacks_.domain_activity()};
+    if (message.targets.size() > max_activities)
+        message.targets.resize(max_activities);
+    auto const bytes = encode(message);
+    ++domain_activity_turn_;
+    for (auto const& [domain, addresses] : table_.far_addresses(now))
+        transport_->send(bytes,
+                         addresses[domain_activity_turn_ % addresses.size()]);
+}
+
+void peer_link::send_near(peer_message const& message, time_point now) {
+    auto const bytes = encode(message);
+    for (auto const& address : table_.near_addresses(now))
+        transport_->send(bytes, address);
+}
+
 void peer_link::pass_on(mirror::store_changes const& changes, time_point now) {
     auto const bytes =
         encode(change_message{{options_.address}, options_.control, changes});
@@ -122,6 +176,19 @@
     callbacks_.on_belief(message);
 }
 
+void peer_link::handle(activity_message const& message, time_point) {
+    callbacks_.on_activity(message);
+}
+
+void peer_link::handle(domain_activity_message const& message, time_point now) {
+    callbacks_.on_domain_activity(message);
+    if (!message.pass_on)
+        return;
+    auto passed_on = message;
+    passed_on.pass_on = false;
+    send_near(passed_on, now);
+}
+
 void peer_link::handle(change_message const& message, time_point now) {
     table_.learn(message.sender.value, now);
     callbacks_.on_changes(message);
--- a/src/yuccabeam/gateway/peer_message.cpp
+++ b/src/yuccabeam/gateway/peer_message.cpp
@@ -50,6 +50,23 @@
         {value.sender.value, value.control, to_json(value.changes)});
 }
 
+json to_json(std::vector<placement::target_activity> const& targets) {
+    json out = json::array();
+    for (auto const& one : targets)
+        out.push_back(
+            json::array({one.target.value, one.started_ms, one.in_flight}));
+    return out;
+}
+
+json to_json(activity_message const& value) {
+    return json::array({value.sender.value, to_json(value.targets)});
+}
+
+json to_json(domain_activity_message const& value) {
+    return json::array({value.sender.value, value.failure_domain.value,
+                        value.pass_on, to_json(value.targets)});
+}
+
 // Errors of type and range are thrown by the accessors and end in `decode`.
 std::optional<placement::target_notice> read_notice(json const& in) {
     if (in.is_null())
@@ -91,6 +108,15 @@
     return out;
 }
 
+std::vector<placement::target_activity> read_activity(json const& in) {
+    std::vector<placement::target_activity> out;
+    for (auto const& one : in)
+        out.push_back({{one.at(0).get<std::string>()},
+                       one.at(1).get<std::int64_t>(),
+                       one.at(2).get<std::uint32_t>()});
+    return out;
+}
+
 peer_message read_message(json const& in) {
     auto const& body = in.at(2);
     switch (in.at(1).get<int>()) {
@@ -105,6 +131,14 @@
         return change_message{{body.at(0).get<std::string>()},
                               body.at(1).get<std::string>(),
                               read_changes(body.at(2))};
+    case 3:
+        return activity_message{{body.at(0).get<std::string>()},
+                                read_activity(body.at(1))};
+    case 4:
+        return domain_activity_message{{body.at(0).get<std::string>()},
+                                       {body.at(1).get<std::string>()},
+                                       body.at(2).get<bool>(),
+                                       read_activity(body.at(3))};
     default:
         throw std::out_of_range("kind of message");
     }
--- a/src/yuccabeam/gateway/peer_table.cpp
+++ b/src/yuccabeam/gateway/peer_table.cpp
@@ -96,6 +96,23 @@
     return out;
 }
 
+std::vector<std::string> peer_table::near_addresses(time_point now) const {
+    std::vector<std::string> out;
+    for (auto const& [address, entry] : peers_)
+        if (near(entry) && live(entry, now))
+            out.push_back(address);
+    return out;
+}
+
+std::map<failure_domain_id, std::vector<std::string>>
+peer_table::far_addresses(time_point now) const {
+    std::map<failure_domain_id, std::vector<std::string>> out;
+    for (auto const& [address, entry] : peers_)
+        if (!near(entry) && live(entry, now))
+            out[entry.last.failure_domain].push_back(address);
+    return out;
+}
+
 std::size_t peer_table::live_count(time_point now) const {
     return static_cast<std::size_t>(std::ranges::count_if(
         peers_, [&](auto const& named) { return live(named.second, now); }));
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -40,6 +40,8 @@
             {"svc"},
             true},
         belief_message{{"x"}, std::nullopt, {"svc"}, true},
+        activity_message{{"x"}, {{{"t"}, 5, 3}, {{"u"}, 6, 0}}},
+        domain_activity_message{{"x"}, {"a"}, true, {{{"t"}, 5, 9}}},
         change_message{{"x"},
                        "c",
                        {3,
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -28,8 +28,22 @@
            share_of(request_.latency_objective, options_.overdue_share);
 }
 
-choice_request request_course::wanted() const {
-    return {request_.service, request_.idempotent, tried_};
+choice_request request_course::wanted(time_point now) const {
+    choice_request out;
+    out.service = request_.service;
+    out.idempotent = request_.idempotent;
+    out.repeatable = request_.idempotent && sent_ + 1 < request_.max_attempts;
+    out.time_left = request_.deadline - now;
+    out.objective_left = request_.latency_objective.count() == 0
+                             ? out.time_left
+                             : objective_end_ - now;
+    out.exclude = tried_;
+    return out;
+}
+
+void request_course::tell_activity(target_id const& id, course_step& step) {
+    if (auto const activity = parts_.book.activity(id))
+        step.activity.push_back(*activity);
 }
 
 bool request_course::enough_time(time_point now) const {
@@ -37,6 +51,7 @@
 }
 
 course_step request_course::start(time_point now) {
+    objective_end_ = now + request_.latency_objective;
     parts_.budget.on_request(now);
     return try_next(now, {});
 }
@@ -44,7 +59,7 @@
 course_step request_course::try_next(time_point now, course_step step) {
     if (!enough_time(now))
         return end("deadline", std::move(step));
-    auto const chosen = parts_.book.choose(wanted(), now);
+    auto const chosen = parts_.book.choose(wanted(now), now);
     if (!chosen)
         return end(tried_.empty() ? "no_target" : "no_other_target",
                    std::move(step));
@@ -58,12 +73,14 @@
     course_attempt attempt;
     attempt.to = chosen.target.target;
     attempt.suspected = chosen.suspected || chosen.trial;
+    attempt.queued = chosen.queued;
     attempt.may_reuse = request_.idempotent && !attempt.suspected;
     attempt.started = now;
     step.action = course_action::send;
     step.attempt = attempts_.size();
     tried_.push_back(attempt.to.id);
     parts_.book.on_start(attempt.to.id);
+    tell_activity(attempt.to.id, step);
     attempts_.push_back(std::move(attempt));
     ++sent_;
     set_check(now);
@@ -73,41 +90,62 @@
 void request_course::set_check(time_point now) {
     if (request_.latency_objective.count() == 0 || checked_)
         return;
-    next_check_ = now + share_of(request_.latency_objective,
-                                 request_.idempotent ? options_.hedge_share
-                                                     : options_.overdue_share);
+    next_check_ = now + time_to_check();
+}
+
+duration request_course::time_to_check() const {
+    if (request_.idempotent)
+        return share_of(request_.latency_objective, options_.hedge_share);
+    auto const latest =
+        share_of(request_.latency_objective, options_.overdue_share);
+    auto const usual = parts_.book.service_time(request_.service);
+    if (usual <= duration{})
+        return latest;
+    return std::min(latest, share_of(usual, options_.overdue_factor));
 }
 
 course_step request_course::end(std::string_view reason, course_step step) {
-    abandon();
+    give_up_running(step);
     step.action = course_action::end;
     step.reason = reason;
     return step;
 }
 
 course_step request_course::deliver(std::size_t attempt, course_step step) {
-    abandon();
+    give_up_running(step);
     step.action = course_action::deliver;
     step.attempt = attempt;
     return step;
 }
 
-void request_course::abandon() {
+void request_course::give_up_running(course_step& step) {
     ended_ = true;
     next_check_.reset();
-    for (auto& attempt : attempts_)
-        if (std::exchange(attempt.running, false))
-            parts_.book.on_cancel(attempt.to.id);
+    for (auto& attempt : attempts_) {
+        if (!std::exchange(attempt.running, false))
+            continue;
+        parts_.book.on_cancel(attempt.to.id);
+        tell_activity(attempt.to.id, step);
+    }
+}
+
+course_step request_course::abandon() {
+    course_step step;
+    give_up_running(step);
+    return step;
 }
 
 course_step request_course::on_attempt_end(std::size_t attempt,
                                            attempt_outcome outcome,
-                                           time_point now) {
+                                           time_point now,
+                                           std::size_t answer_bytes) {
     course_step step;
     if (ended_ || !attempts_[attempt].running)
         return step;
     attempts_[attempt].running = false;
-    auto const notice = note_end(attempts_[attempt], outcome, now);
+    auto const notice =
+        note_end(attempts_[attempt], outcome, now, answer_bytes);
+    tell_activity(attempts_[attempt].to.id, step);
     step.decision = decide(outcome, now);
     // While another attempt runs, it may still succeed.
     bool const others = running() > 0;
@@ -118,8 +156,10 @@
     if (notice || repeats)
         step.news.push_back({notice, repeats});
 
-    if (outcome == attempt_outcome::success)
+    if (outcome == attempt_outcome::success) {
+        succeeded_ = true;
         return deliver(attempt, std::move(step));
+    }
     if (outcome == attempt_outcome::target_error)
         fallback_ = attempt;
     if (others)
@@ -133,10 +173,11 @@
 
 std::optional<target_notice>
 request_course::note_end(course_attempt const& done, attempt_outcome outcome,
-                         time_point now) {
+                         time_point now, std::size_t answer_bytes) {
     auto notice = parts_.book.on_end(done.to.id, outcome, done.started, now);
     if (outcome == attempt_outcome::success)
-        parts_.book.on_service_time(request_.service, now - done.started);
+        parts_.book.on_answer(request_.service, now - done.started, done.queued,
+                              answer_bytes);
     if (outcome == attempt_outcome::wrong_target)
         parts_.book.on_address_taken(done.to.id);
     if (outcome == attempt_outcome::connect_failed)
@@ -155,7 +196,7 @@
     facts.max_attempts = request_.max_attempts;
     facts.time_left = enough_time(now);
     facts.budget_left = parts_.may_repeat(now);
-    facts.other_target_left = parts_.book.has_choice(wanted(), now);
+    facts.other_target_left = parts_.book.has_choice(wanted(now), now);
     return after_attempt(facts, ran_);
 }
 
@@ -180,7 +221,7 @@
     if (sent_ >= request_.max_attempts ||
         !parts_.book.has_room(request_.service, now) || !parts_.may_repeat(now))
         return {};
-    auto const second = parts_.book.choose(wanted(), now);
+    auto const second = parts_.book.choose(wanted(now), now);
     if (!second || second->suspected || second->trial)
         return {};
     parts_.budget.on_repeat(now);
@@ -203,6 +244,7 @@
         if (auto const notice = parts_.book.on_end(attempt.to.id, outcome,
                                                    attempt.started, now))
             step.news.push_back({notice, false});
+        tell_activity(attempt.to.id, step);
     }
     return end("deadline", std::move(step));
 }
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -11,11 +11,10 @@
 // Tiers of a choice, best first. A trial goes before everything else, as the
 // sooner a recovered target is known the more capacity there is.
 constexpr int tier_trial = 0;
-constexpr int tier_good = 1;
+constexpr int tier_usual = 1;
 constexpr int tier_full = 2;
 constexpr int tier_vanished = 3;
-constexpr int tier_suspected = 4;
-constexpr int tier_unreachable = 5;
+constexpr int tier_unreachable = 4;
 
 bool is_failure(attempt_outcome outcome) {
     return outcome == attempt_outcome::reset ||
@@ -61,10 +60,7 @@
 }
 
 double target_book::probability(record const& entry, time_point now) const {
-    auto const& options = options_.belief;
-    double const age = to_seconds(now - entry.believed_at);
-    return options.prior + (entry.failing - options.prior) *
-                               std::exp(-age / to_seconds(options.memory));
+    return failing_probability(entry.belief, options_.belief, now);
 }
 
 bool target_book::suspected(record const& entry, time_point now) const {
@@ -72,12 +68,7 @@
 }
 
 void target_book::weigh(record& entry, double factor, time_point now) {
-    auto const& options = options_.belief;
-    auto const before = probability(entry, now);
-    auto const odds = before / (1 - before) * factor;
-    entry.failing =
-        std::clamp(odds / (1 + odds), options.lowest, options.highest);
-    entry.believed_at = now;
+    entry.belief = after_evidence(entry.belief, factor, options_.belief, now);
 }
 
 target_book::target_book(failure_domain_id own_domain, std::uint64_t seed,
@@ -91,7 +82,8 @@
     std::set<target_id> present;
     for (auto const& info : targets) {
         present.insert(info.target.id);
-        if (auto const kind = update(info, now))
+        auto const kind = update(info, now);
+        if (kind)
             changes.push_back({info.target.id, info.target.service, *kind});
     }
     for (auto* entry : newly_missing(present)) {
@@ -138,7 +130,7 @@
                            entry.info.target == info.target;
     if (!same_life) {
         entry = {};
-        entry.failing = options_.belief.prior;
+        entry.belief = new_belief(options_.belief, now);
     }
     bool const said_leaving = entry.info.leaving;
     bool const returned = entry.vanished_at.has_value();
@@ -188,62 +180,94 @@
     return out;
 }
 
-double target_book::load_of(record const& entry, time_point now) const {
-    auto const slots = std::max<std::uint32_t>(entry.info.target.slots, 1);
-    double load = entry.in_flight;
-    if (now < entry.warm_at)
-        load += options_.cold_penalty;
-    if (entry.info.target.failure_domain != own_domain_)
-        load += options_.crossing_penalty;
-    return load / slots;
+std::uint32_t target_book::domain_in_flight(record const& entry,
+                                            time_point now) const {
+    std::uint32_t out = entry.in_flight;
+    for (auto const& [peer, load] : entry.peers)
+        if (now - load.told < options_.activity_memory)
+            out += load.in_flight;
+    return out;
+}
+
+double target_book::in_flight(record const& entry, time_point now) const {
+    double out = domain_in_flight(entry, now);
+    for (auto const& [domain, load] : entry.domains)
+        if (now - load.told < options_.activity_memory)
+            out += load.in_flight;
+    return out;
+}
+
+demand target_book::demand_of(choice_request const& wanted) const {
+    constexpr double bytes_per_mb = 1e6;
+    demand out;
+    out.repeatable = wanted.repeatable;
+    out.time_left = wanted.time_left;
+    out.objective_left = wanted.objective_left;
+    if (auto const load = loads_.find(wanted.service); load != loads_.end()) {
+        out.service_time = from_seconds(load->second.service_seconds.value);
+        out.answer_mb = load->second.answer_bytes.value / bytes_per_mb;
+    }
+    return out;
+}
+
+offer target_book::offer_of(record const& entry, time_point now) const {
+    offer out;
+    out.risk = probability(entry, now);
+    out.in_flight = in_flight(entry, now);
+    out.slots = entry.info.target.slots;
+    out.cold = now < entry.warm_at;
+    out.crossing = entry.info.target.failure_domain != own_domain_;
+    return out;
+}
+
+int target_book::tier_of(record const& entry, choice_request const& wanted,
+                         time_point now) const {
+    if (entry.unreachable(now))
+        return tier_unreachable;
+    if (wanted.idempotent && wanted.exclude.empty() &&
+        now >= entry.next_trial && suspected(entry, now))
+        return tier_trial;
+    if (entry.vanished_at && entry.vanish_trusted)
+        return tier_vanished;
+    return now < entry.full_until ? tier_full : tier_usual;
 }
 
 target_book::ranked target_book::rank(record& entry,
                                       choice_request const& wanted,
+                                      demand const& request,
                                       time_point now) const {
-    ranked out{&entry, tier_good, load_of(entry, now), probability(entry, now)};
-    if (entry.unreachable(now)) {
-        out.tier = tier_unreachable;
-        out.load = to_seconds(entry.unreachable_until - now);
-    } else if (out.failing > (wanted.idempotent
-                                  ? options_.belief.idempotent_suspicion
-                                  : options_.belief.suspicion)) {
-        bool const trial = wanted.idempotent && wanted.exclude.empty() &&
-                           now >= entry.next_trial;
-        out.tier = trial ? tier_trial : tier_suspected;
-        out.load = out.failing;
-    } else if (entry.vanished_at && entry.vanish_trusted)
-        out.tier = tier_vanished;
-    else if (now < entry.full_until)
-        out.tier = tier_full;
-    return out;
+    return {&entry, tier_of(entry, wanted, now),
+            expected_worth(offer_of(entry, now), request, options_.value)};
 }
 
 std::optional<choice> target_book::choose(choice_request const& wanted,
                                           time_point now) {
-    std::vector<ranked> usable;
-    for (auto* entry : candidates(wanted, now))
-        usable.push_back(rank(*entry, wanted, now));
-    admit_suspected(usable, wanted);
+    auto const request = demand_of(wanted);
     std::vector<ranked> best;
-    for (auto const& candidate : usable) {
-        auto const key = std::pair(candidate.tier, candidate.load);
-        if (!best.empty() &&
-            key > std::pair(best.front().tier, best.front().load))
-            continue;
-        if (!best.empty() &&
-            key < std::pair(best.front().tier, best.front().load))
-            best.clear();
-        best.push_back(candidate);
+    for (auto* entry : candidates(wanted, now)) {
+        auto const one = rank(*entry, wanted, request, now);
+        auto const key = std::pair(one.tier, -one.worth);
+        if (!best.empty()) {
+            auto const leader = std::pair(best[0].tier, -best[0].worth);
+            if (key > leader)
+                continue;
+            if (key < leader)
+                best.clear();
+        }
+        best.push_back(one);
     }
     if (best.empty())
         return std::nullopt;
     auto const& picked = best[std::uniform_int_distribution<std::size_t>(
         0, best.size() - 1)(random_)];
-    choice out{picked.entry->info, picked.tier == tier_trial,
-               picked.failing > options_.belief.suspicion, std::nullopt};
+    auto& entry = *picked.entry;
+    choice out;
+    out.target = entry.info;
+    out.suspected = suspected(entry, now);
+    out.trial = picked.tier == tier_trial;
+    out.queued = in_flight(entry, now) >= entry.info.target.slots;
     if (out.trial) {
-        picked.entry->next_trial = now + options_.trial_interval;
+        entry.next_trial = now + options_.trial_interval;
         out.notice = target_notice{out.target.target.id, out.target.started_ms,
                                    notice_kind::trial};
     }
@@ -254,46 +278,26 @@
     auto const load = loads_.find(service);
     return load == loads_.end()
                ? 0
-               : load->second.fleet_rate * load->second.service_seconds;
-}
-
-void target_book::admit_suspected(std::vector<ranked>& targets,
-                                  choice_request const& wanted) const {
-    bool const idempotent = wanted.idempotent;
-    double room = busy_slots(wanted.service) /
-                  (idempotent ? options_.idempotent_crowded_utilisation
-                              : options_.crowded_utilisation);
-    std::vector<ranked*> suspects;
-    for (auto& target : targets) {
-        if (target.tier == tier_suspected &&
-            (idempotent || target.failing <= options_.worst_admitted))
-            suspects.push_back(&target);
-        else if (target.tier < tier_vanished)
-            room -= target.entry->info.target.slots;
-    }
-    std::ranges::sort(suspects, {},
-                      [](ranked const* target) { return target->failing; });
-    for (auto* target : suspects) {
-        if (room <= 0)
-            break;
-        room -= target->entry->info.target.slots;
-        target->tier = tier_good;
-        target->load =
-            static_cast<double>(target->entry->in_flight) /
-            std::max<std::uint32_t>(target->entry->info.target.slots, 1);
-    }
+               : load->second.fleet_rate * load->second.service_seconds.value;
 }
 
 void target_book::set_fleet_rate(service_id const& service, double per_second) {
     loads_[service].fleet_rate = per_second;
 }
 
-void target_book::on_service_time(service_id const& service, duration taken) {
-    // Weight of one more attempt: the mean covers about the last fifty.
-    constexpr double weight = 0.02;
-    auto& mean = loads_[service].service_seconds;
-    mean = mean <= 0 ? to_seconds(taken)
-                     : mean + weight * (to_seconds(taken) - mean);
+void target_book::smoothed_mean::add(double one) {
+    constexpr double most_values = 50;
+    values = std::min(values + 1, most_values);
+    value += (one - value) / values;
+}
+
+void target_book::on_answer(service_id const& service, duration taken,
+                            bool queued, std::size_t bytes) {
+    auto& load = loads_[service];
+    load.answer_bytes.add(static_cast<double>(bytes));
+    // Time in a queue belongs to the queue, which is counted apart.
+    if (!queued || load.service_seconds.values == 0)
+        load.service_seconds.add(to_seconds(taken));
 }
 
 bool target_book::has_choice(choice_request const& wanted,
@@ -306,6 +310,49 @@
         ++entry->in_flight;
 }
 
+void target_book::on_peer_activity(daemon_id const& peer,
+                                   target_activity const& activity,
+                                   time_point now) {
+    auto* entry = find(activity.target);
+    if (!entry || entry->info.started_ms != activity.started_ms)
+        return;
+    if (activity.in_flight == 0)
+        entry->peers.erase(peer);
+    else
+        entry->peers[peer] = {activity.in_flight, now};
+}
+
+void target_book::on_domain_activity(
+    failure_domain_id const& domain,
+    std::vector<target_activity> const& activities, time_point now) {
+    for (auto& [id, entry] : records_)
+        entry.domains.erase(domain);
+    for (auto const& activity : activities)
+        if (auto* entry = find(activity.target);
+            entry && entry->info.started_ms == activity.started_ms)
+            entry->domains[domain] = {activity.in_flight, now};
+}
+
+std::vector<target_activity>
+target_book::domain_activity(time_point now) const {
+    std::vector<target_activity> out;
+    for (auto const& [id, entry] : records_)
+        if (auto const count = domain_in_flight(entry, now); count > 0)
+            out.push_back({id, entry.info.started_ms, count});
+    std::ranges::stable_sort(out, std::ranges::greater(),
+                             &target_activity::in_flight);
+    return out;
+}
+
+std::optional<target_activity>
+target_book::activity(target_id const& id) const {
+    auto const found = records_.find(id);
+    if (found == records_.end())
+        return std::nullopt;
+    auto const& entry = found->second;
+    return target_activity{id, entry.info.started_ms, entry.in_flight};
+}
+
 void target_book::on_cancel(target_id const& id) {
     if (auto* entry = find(id); entry && entry->in_flight > 0)
         --entry->in_flight;
@@ -424,6 +471,13 @@
     }
 }
 
+duration target_book::service_time(service_id const& service) const {
+    auto const load = loads_.find(service);
+    return load == loads_.end()
+               ? duration{}
+               : from_seconds(load->second.service_seconds.value);
+}
+
 std::size_t target_book::size(service_id const& service) const {
     return static_cast<std::size_t>(
         std::ranges::count_if(records_, [&](auto const& named) {
--- /dev/null
+++ b/src/yuccabeam/placement/valuation_test.cpp
@@ -0,0 +1,86 @@
+#include "yuccabeam/placement/valuation.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace yuccabeam;
+using namespace yuccabeam::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+demand usual() {
+    demand out;
+    out.time_left = 4s;
+    out.objective_left = 2s;
+    out.service_time = 500ms;
+    return out;
+}
+
+double worth(offer const& target, demand const& request = usual()) {
+    return expected_worth(target, request, {});
+}
+
+struct order_case {
+    char const* guards;
+    offer better;
+    offer worse;
+};
+
+constexpr double sound = 0.03;
+constexpr double failing = 0.9;
+
+std::vector<order_case> const cases = {
+    {"a failing target while the sound one has slots",
+     {sound, 5, 6},
+     {failing, 0, 6}},
+    {"a failing target while the sound one's queue is short",
+     {sound, 11, 6},
+     {failing, 0, 6}},
+    {"a queue that takes longer than the caller waits",
+     {failing, 0, 6},
+     {sound, 60, 6}},
+    {"the more loaded of two alike", {sound, 1, 6}, {sound, 2, 6}},
+    {"the smaller of two with the same load", {sound, 4, 12}, {sound, 4, 6}},
+    {"a cold target while another has slots",
+     {sound, 2, 6},
+     {sound, 2, 6, true}},
+    {"another failure domain without need",
+     {sound, 1, 6},
+     {sound, 1, 6, false, true}},
+    {"the own failure domain at any price",
+     {sound, 1, 6, false, true},
+     {sound, 9, 6}},
+};
+
+} // namespace
+
+TEST_CASE("what a request prefers") {
+    for (auto const& c : cases) {
+        CAPTURE(c.guards);
+        CHECK(worth(c.better) > worth(c.worse));
+    }
+}
+
+TEST_CASE("load never makes a target that surely fails attractive: worth is "
+          "a product, not a sum of costs") {
+    for (double in_flight = 0; in_flight < 100; ++in_flight)
+        CHECK(worth({sound, in_flight, 6}) >= worth({1, 0, 6}));
+}
+
+TEST_CASE("a failure costs less where the request may be repeated") {
+    auto repeatable = usual();
+    repeatable.repeatable = true;
+    CHECK(worth({failing, 0, 6}, repeatable) > worth({failing, 0, 6}));
+    CHECK(worth({0, 0, 6}, repeatable) == doctest::Approx(worth({0, 0, 6})));
+}
+
+TEST_CASE("the chance to be in time falls with the expected time and is even "
+          "at the limit") {
+    CHECK(chance_in_time(1s, 1s, 0.4) == doctest::Approx(0.5));
+    CHECK(chance_in_time(500ms, 1s, 0.4) > 0.9);
+    CHECK(chance_in_time(2s, 1s, 0.4) < 0.1);
+    // Nothing is known of a new service, and nothing fits into no time.
+    CHECK(chance_in_time(0s, 1s, 0.4) == 1);
+    CHECK(chance_in_time(1s, 0s, 0.4) == 0);
+}
