Hold requests that come before the first configuration for a moment

Cause: after a power loss callers reconnect in the moment in which a daemon starts to listen.

Change: gateway/waiting_room keeps up to 512 requests for up to 250 ms, an eighth of the usual latency objective, and serves them with the first configuration; the rest is refused as before.

Ruled out: listening only once the configuration is there, as callers then meet closed ports for as long.

--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -7,6 +7,7 @@
 #include "yuccabeam/gateway/exchange.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
+#include "yuccabeam/gateway/waiting_room.hpp"
 #include "yuccabeam/routing/route_table.hpp"
 
 #include <asio.hpp>
@@ -89,6 +90,8 @@
     placement::repeat_budget& budget(service_id const& id);
     bool may_repeat(service_id const& id, time_point now);
     void serve(http1::incoming_request request, http1::responder_ptr caller);
+    void refuse_without_policy(waiting_request const& held);
+    void serve_waiting();
     void log_refusal(std::string const& id, std::string_view reason);
     void answer_readiness(http1::incoming_request const& request,
                           http1::responder_ptr const& caller);
@@ -126,6 +129,7 @@
     std::unique_ptr<http1::server> control;
     asio::steady_timer ticker;
 
+    waiting_room waiting;
     traffic_policy policy;
     std::uint64_t policy_read_at = 0; ///< store's revision of the last text
     routing::route_table routes;
@@ -199,6 +203,7 @@
     if (from_store && changes.base != 0)
         peers.pass_on(changes, now);
     note_readiness();
+    serve_waiting();
 }
 
 void implementation::apply_policy() {
@@ -382,8 +387,10 @@
                            http1::responder_ptr caller) {
     auto const id = request_id_of(request, formats.headers);
     if (policy.revision == 0) {
-        log_refusal(id, "no_policy");
-        caller->send(not_run_answer(id, "no_policy", retry_after_unready));
+        counters.count("held_for_policy");
+        if (auto refused = waiting.add(
+                {std::move(request), std::move(caller), boot_now()}))
+            refuse_without_policy(*refused);
         return;
     }
     auto const host = http1::field_value(request.head.fields, "Host");
@@ -397,6 +404,19 @@
                            policy.revision});
 }
 
+void implementation::refuse_without_policy(waiting_request const& held) {
+    auto const id = request_id_of(held.request, formats.headers);
+    log_refusal(id, "no_policy");
+    held.caller->send(not_run_answer(id, "no_policy", retry_after_unready));
+}
+
+void implementation::serve_waiting() {
+    if (policy.revision == 0 || book.size() == 0)
+        return;
+    for (auto& held : waiting.take_all())
+        serve(std::move(held.request), std::move(held.caller));
+}
+
 void implementation::log_refusal(std::string const& id,
                                  std::string_view reason) {
     counters.count("refused_" + std::string(reason));
@@ -546,6 +566,8 @@
         outage_seen = now;
     store->tick(now);
     catch_up(now);
+    for (auto const& held : waiting.take_expired(now))
+        refuse_without_policy(held);
     book.expire(now);
     for (auto const& [service, budget] : budgets)
         book.set_fleet_rate(service, budget.fleet_requests(now) /
