Note the fleet's repeats in the store for daemons that start after its loss

All VMs had lost power; daemons that came back knew nothing of the repeats of the lives before. Ruled out: too many repeats within one life of the fleet (each life alone kept the budget).

Change: the first daemon of those that hear one another notes a service's counts when they have grown by 8% of the allowance, at most once a second, under a lease of one window; a daemon that starts reads the notes and counts them as its fleet's. A repeat that the budget no longer allows isn't counted on when a target is valued.

--- a/include/yuccabeam/gateway/peer_table.hpp
+++ b/include/yuccabeam/gateway/peer_table.hpp
@@ -59,6 +59,8 @@
     /// In this failure domain, or in an unknown one.
     bool is_near(std::string const& address) const;
     std::size_t live_count(time_point now) const;
+    /// True for one daemon of those that hear one another.
+    bool is_first(time_point now) const;
     /// Daemons heard in the last time that counts for the fleet's size.
     std::size_t known_count() const { return peers_.size(); }
     void forget_silent(time_point now);
--- a/include/yuccabeam/placement/repeat_budget.hpp
+++ b/include/yuccabeam/placement/repeat_budget.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace yuccabeam::placement {
@@ -22,6 +23,11 @@
     /// Repeats that a daemon may make in one window beyond its own requests'
     /// share while its peers' counts are known.
     double own_burst = 6;
+    /// Growth of the fleet's repeats, as a part of the allowance, that is
+    /// noted in the store for daemons that start after a loss of the fleet.
+    double note_share = 0.08;
+    /// Least time between two notes.
+    duration note_pause = std::chrono::seconds(1);
 };
 
 /// Requests and repeats of one service in the last window.
@@ -38,7 +44,8 @@
 /// a constant. Each daemon tells its counts with its heartbeat; a repeat is
 /// allowed while the sum of the known repeats stays below a part of the
 /// allowance. A daemon that hears too few peers falls back to its own share,
-/// so that a fleet in pieces stays within the allowance together.
+/// so that a fleet in pieces stays within the allowance together. Counts are
+/// noted where a restart of the whole fleet can't lose them.
 class repeat_budget {
 public:
     explicit repeat_budget(repeat_budget_options options = {});
@@ -54,6 +61,11 @@
     /// One repeat of another daemon, told at once.
     void on_peer_repeat(time_point now);
 
+    /// Counts of the last window that a fleet has noted before it was lost.
+    void on_history(repeat_counts counts, time_point now);
+    /// The fleet's counts when they are due to be noted again.
+    std::optional<repeat_counts> take_note(time_point now);
+
     repeat_counts own(time_point now) const;
     /// Requests of the fleet in the last window, as far as peers told.
     double fleet_requests(time_point now) const;
@@ -66,12 +78,17 @@
     };
 
     double fleet_repeats(time_point now) const;
+    double allowance(time_point now) const;
+    bool has_history(time_point now) const;
 
     repeat_budget_options options_;
     std::deque<time_point> requests_;
     std::deque<time_point> repeats_;
     std::deque<time_point> peer_repeats_;
     std::map<daemon_id, peer_counts> peers_;
+    peer_counts history_;
+    double noted_repeats_ = 0;
+    time_point noted_at_{};
 };
 
 } // namespace yuccabeam::placement
--- a/include/yuccabeam/placement/valuation.hpp
+++ b/include/yuccabeam/placement/valuation.hpp
@@ -12,8 +12,7 @@
     double late_worth = 0.4;
     /// Relative spread of the time to an answer.
     double spread = 0.4;
-    /// Worth that a failed first attempt costs a request that may be
-    /// repeated.
+    /// Share of its worth that a failure costs a request that may be repeated.
     double repeat_cost = 0.4;
     /// Share of its worth that a target loses with all its slots in use,
     /// growing with the square of their use: many targets slow down when nearly
--- a/src/yuccabeam/bench/placement_world.cpp
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -182,22 +182,24 @@
             return;
         }
         bool const hit = happens(to.trouble_share);
+        if (hit && to.trouble == target_trouble::hang)
+            return;
         if (hit && to.trouble == target_trouble::reset)
             respond(target, work, attempt_outcome::reset);
-        else if (hit && to.trouble == target_trouble::shed)
+        else if ((hit && to.trouble == target_trouble::shed) || full(to))
             respond(target, work, attempt_outcome::not_run);
-        else if (hit && to.trouble == target_trouble::hang)
-            return;
         else if (to.busy < slots)
             begin(target, work);
-        else if (to.queue.size() < queue_limit)
-            to.queue.push_back(work);
         else
-            respond(target, work, attempt_outcome::not_run);
+            to.queue.push_back(work);
         result_.longest_queue = std::max(result_.longest_queue,
                                          static_cast<double>(to.queue.size()));
     }
 
+    static bool full(server const& of) {
+        return of.busy >= slots && of.queue.size() >= queue_limit;
+    }
+
     void count_arrival(server const& to, job const& work) {
         if (!work.from->counted)
             return;
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -6,6 +6,7 @@
 #include "yuccabeam/gateway/drain.hpp"
 #include "yuccabeam/gateway/exchange.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
+#include "yuccabeam/gateway/repeat_note.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
 #include "yuccabeam/gateway/waiting_room.hpp"
 #include "yuccabeam/routing/route_table.hpp"
@@ -82,6 +83,8 @@
     void on_belief(belief_message const& message);
     void tell(std::optional<placement::target_notice> const& notice,
               service_id const& service, bool repeated);
+    void read_repeat_notes(time_point now);
+    void write_repeat_notes(time_point now);
     void catch_up(time_point now);
     void pull_from_seed(time_point now);
 
@@ -133,6 +136,7 @@
     traffic_policy policy;
     std::uint64_t policy_read_at = 0; ///< store's revision of the last text
     routing::route_table routes;
+    bool notes_read = false;
     bool was_ready = false;
     std::optional<time_point> stopping_since;
     std::optional<time_point> outage_seen;
@@ -195,6 +199,10 @@
 void implementation::on_store_changed(mirror::store_changes const& changes,
                                       bool from_store) {
     auto const now = boot_now();
+    if (!notes_read) {
+        notes_read = true;
+        read_repeat_notes(now);
+    }
     apply_policy();
     apply_targets(now);
     auto const& prefix = formats.content.daemon_prefix;
@@ -321,6 +329,37 @@
     peers.tell(notice, service, repeated);
 }
 
+// What the fleet has repeated shortly before this daemon started: after a
+// loss of the whole fleet nobody else knows it.
+void implementation::read_repeat_notes(time_point now) {
+    auto const& prefix = formats.content.repeats_prefix;
+    for (auto const* item : store->mirror().with_prefix(prefix)) {
+        auto const counts = read_repeat_note(item->value);
+        service_id const service{item->key.substr(prefix.size())};
+        if (!counts) {
+            counters.count("repeat_notes_rejected");
+            continue;
+        }
+        budget(service).on_history(*counts, now);
+        log.write("repeats_remembered",
+                  {{"service", service.value},
+                   {"repeats", std::to_string(counts->repeats)},
+                   {"requests", std::to_string(counts->requests)},
+                   {"store_revision", std::to_string(item->revision)}});
+    }
+}
+
+void implementation::write_repeat_notes(time_point now) {
+    if (!peers.table().is_first(now))
+        return;
+    auto const window =
+        std::chrono::ceil<std::chrono::seconds>(settings.repeat_window);
+    for (auto& [service, budget] : budgets)
+        if (auto const counts = budget.take_note(now))
+            store->put_note(formats.content.repeats_prefix + service.value,
+                            write_repeat_note(*counts), window);
+}
+
 void implementation::catch_up(time_point now) {
     auto const ahead = peers.table().ahead_of(store->mirror().revision(), now);
     if (!ahead) {
@@ -572,8 +611,10 @@
     for (auto const& [service, budget] : budgets)
         book.set_fleet_rate(service, budget.fleet_requests(now) /
                                          to_seconds(budget.window()));
-    if (!stopping_since)
+    if (!stopping_since) {
         peers.tick(now);
+        write_repeat_notes(now);
+    }
     note_readiness();
     check_stop(now);
 }
--- a/src/yuccabeam/gateway/peer_table.cpp
+++ b/src/yuccabeam/gateway/peer_table.cpp
@@ -118,6 +118,12 @@
         peers_, [&](auto const& named) { return live(named.second, now); }));
 }
 
+bool peer_table::is_first(time_point now) const {
+    return std::ranges::none_of(peers_, [&](auto const& named) {
+        return named.first < options_.self.value && live(named.second, now);
+    });
+}
+
 void peer_table::forget_silent(time_point now) {
     std::erase_if(peers_, [&](auto const& named) {
         auto const& entry = named.second;
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/gateway/drain.hpp"
 #include "yuccabeam/gateway/peer_message.hpp"
 #include "yuccabeam/gateway/peer_table.hpp"
+#include "yuccabeam/gateway/repeat_note.hpp"
 
 #include <doctest/doctest.h>
 #include <random>
@@ -136,3 +137,23 @@
     for (auto const& row : rows)
         CHECK(next_drain_step(row.elapsed, row.active, {}) == row.expected);
 }
+
+TEST_CASE("one daemon of the fleet writes for all, and another when it is "
+          "silent") {
+    auto table = table_of("10.0.0.2:7", "a");
+    CHECK(table.is_first(start));
+    table.on_heartbeat(beat("10.0.0.3:7", "a"), start);
+    CHECK(table.is_first(start));
+    table.on_heartbeat(beat("10.0.0.1:7", "b"), start);
+    CHECK_FALSE(table.is_first(start + 1s));
+    CHECK(table.is_first(start + 20s));
+}
+
+TEST_CASE("notes of repeats survive their text; others are refused") {
+    placement::repeat_counts const counts{520, 130};
+    CHECK(read_repeat_note(write_repeat_note(counts)) == counts);
+    for (auto const* text :
+         {"", "{}", "[1,2]", "\xff", R"({"requests":"many","repeats":1})",
+          R"({"requests":1,"repeats":-1})"})
+        CHECK_FALSE(read_repeat_note(text));
+}
--- a/src/yuccabeam/placement/repeat_budget.cpp
+++ b/src/yuccabeam/placement/repeat_budget.cpp
@@ -59,7 +59,37 @@
     // Single notices come at once but may be lost; heartbeats come late.
     auto const noticed =
         static_cast<double>(count_since(peer_repeats_, now - options_.window));
-    return own(now).repeats + std::max(told, noticed);
+    double const before = has_history(now) ? history_.counts.repeats : 0;
+    return before + own(now).repeats + std::max(told, noticed);
+}
+
+bool repeat_budget::has_history(time_point now) const {
+    return history_.counts.repeats > 0 &&
+           now - history_.heard < options_.window;
+}
+
+void repeat_budget::on_history(repeat_counts counts, time_point now) {
+    history_ = {counts, now};
+}
+
+// The requests of a window or of the one before it count, whichever are more.
+double repeat_budget::allowance(time_point now) const {
+    double const before = has_history(now) ? history_.counts.requests : 0;
+    return options_.ratio * std::max(fleet_requests(now), before) +
+           options_.fleet_slack;
+}
+
+std::optional<repeat_counts> repeat_budget::take_note(time_point now) {
+    double const repeats = fleet_repeats(now);
+    // A note lasts for a window; what it said then counts no more.
+    if (now - noted_at_ >= options_.window)
+        noted_repeats_ = 0;
+    if (now - noted_at_ < options_.note_pause ||
+        repeats - noted_repeats_ < options_.note_share * allowance(now))
+        return std::nullopt;
+    noted_repeats_ = repeats;
+    noted_at_ = now;
+    return repeat_counts{fleet_requests(now), repeats};
 }
 
 double repeat_budget::fleet_requests(time_point now) const {
@@ -79,9 +109,7 @@
     bool const most_heard = (peers_heard + 1) * 4 >= fleet_size * 3;
     if (!most_heard)
         return mine.repeats + 1 <= options_.used_share * own_share;
-    double const allowance =
-        options_.ratio * fleet_requests(now) + options_.fleet_slack;
-    return fleet_repeats(now) + 1 <= options_.used_share * allowance &&
+    return fleet_repeats(now) + 1 <= options_.used_share * allowance(now) &&
            mine.repeats + 1 <= own_share + options_.own_burst;
 }
 
--- a/src/yuccabeam/placement/repeat_budget_test.cpp
+++ b/src/yuccabeam/placement/repeat_budget_test.cpp
@@ -19,6 +19,7 @@
     int requests_per_second; ///< over the fleet
     double failing;          ///< share of requests that want a repeat
     double loss;             ///< share of datagrams between daemons
+    bool restart = false;    ///< of all daemons at once, half way through
 };
 
 std::vector<fleet_case> const cases = {
@@ -26,6 +27,9 @@
     {"lost datagrams", 32, 90, 0.5, 0.3},
     {"a fleet whose daemons can't hear one another", 32, 90, 0.5, 1},
     {"few requests: the constant part is shared", 36, 10, 1.0, 0},
+    {"a restart of the whole fleet, which forgets its repeats", 32, 60, 0.5, 0,
+     true},
+    {"the same with few repeats before it", 32, 60, 0.05, 0, true},
 };
 
 // Plays a fleet in which every daemon repeats whenever it is allowed to and
@@ -36,6 +40,7 @@
     std::vector<time_point> requests;
     std::vector<time_point> repeats;
     double worst = -1e9;
+    repeat_counts note;
     auto const in_window = [&](std::vector<time_point> const& times,
                                time_point now) {
         double count = 0;
@@ -46,6 +51,13 @@
     std::uniform_real_distribution<double> share(0, 1);
     for (int tick = 0; tick < 2'500; ++tick) {
         auto const now = start + tick * step;
+        if (auto const taken = fleet[0].take_note(now))
+            note = *taken;
+        if (c.restart && tick == 1'250) {
+            fleet.assign(c.daemons, repeat_budget(options));
+            for (auto& daemon : fleet)
+                daemon.on_history(note, now);
+        }
         if (tick % 300 == 0)
             for (std::size_t from = 0; from < fleet.size(); ++from)
                 for (std::size_t to = 0; to < fleet.size(); ++to)
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -32,7 +32,8 @@
     choice_request out;
     out.service = request_.service;
     out.idempotent = request_.idempotent;
-    out.repeatable = request_.idempotent && sent_ + 1 < request_.max_attempts;
+    out.repeatable = request_.idempotent && sent_ + 1 < request_.max_attempts &&
+                     parts_.may_repeat(now);
     out.time_left = request_.deadline - now;
     out.objective_left = request_.latency_objective.count() == 0
                              ? out.time_left
