Explain requests from collected logs, and gateways by the operators' tool

yuccabeamctl logs explain ID FILE... finds a request in the logs of all daemons, tells its cause in one sentence, its steps and what the daemons came to believe of its targets around that time. It needs no settings and no daemon.

The control address of the gateway answers yuccabeamctl's status and explain queries (JSON-RPC by POST) with sentences and data; the text of GET /state goes. Each target keeps its last evidence, who saw it and when; the lines on failed attempts name the risk, the evidence and its age, as an engineer who has only logs has to know what a choice rested on. The control address is a module of its own; entry_daemon.cpp loses it.

--- a/include/yuccabeam/ctl/outcome.hpp
+++ b/include/yuccabeam/ctl/outcome.hpp
@@ -11,7 +11,8 @@
     input_fault = 2, ///< wrong usage, settings, register or rules
     conflict = 3,    ///< another operator changed the same items
     unknown = 4,     ///< the edit may be in force; `settle` finds out
-    unreachable = 5  ///< store or daemons did not answer
+    unreachable = 5, ///< store or daemons did not answer
+    not_found = 6    ///< the logs don't tell of the request
 };
 
 /// What a command prints and how it ends.
--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -92,8 +92,19 @@
     std::vector<target_id> exclude; ///< already tried
 };
 
+/// What was last learnt of a target, and by whom.
+struct target_evidence {
+    notice_kind kind = notice_kind::failed;
+    bool own = false; ///< seen by this daemon, not told by another one
+    time_point at{};
+
+    bool operator==(target_evidence const&) const = default;
+};
+
 struct choice {
     discovered_target target;
+    double risk = 0; ///< probability that the target fails requests
+    std::optional<target_evidence> evidence; ///< the last before the choice
     bool trial = false;     ///< the target is suspected and put to the test
     bool suspected = false; ///< chosen for lack of any better one
     bool queued = false;    ///< all its slots are in use
@@ -110,6 +121,8 @@
     bool unreachable = false;
     double failing = 0;       ///< probability that it fails requests
     duration suspected_for{}; ///< time since the suspicion began
+    bool vanished = false;    ///< its entry is gone
+    std::optional<target_evidence> evidence; ///< the last
 };
 
 enum class target_change_kind : std::uint8_t {
@@ -198,6 +211,8 @@
     std::size_t size(service_id const& service) const;
     std::size_t size() const { return records_.size(); }
     std::vector<target_belief> beliefs(time_point now) const;
+    std::optional<target_belief> belief_of(target_id const& id,
+                                           time_point now) const;
 
 private:
     struct peer_load {
@@ -211,6 +226,7 @@
         std::map<daemon_id, peer_load> peers; ///< of this failure domain
         std::map<failure_domain_id, peer_load> domains; ///< the others
         placement::belief belief;
+        std::optional<target_evidence> evidence;
         std::optional<time_point> suspected_since;
         time_point next_trial{};
         time_point unreachable_until{};
@@ -265,6 +281,7 @@
     double probability(record const& entry, time_point now) const;
     bool suspected(record const& entry, time_point now) const;
     void weigh(record& entry, double factor, time_point now);
+    target_belief describe(record const& entry, time_point now) const;
     void note_doubt(record& entry, time_point now);
     void note_success(record& entry, time_point now);
     void suspect(record& entry, time_point now);
--- a/include/yuccabeam/values/key_value_text.hpp
+++ b/include/yuccabeam/values/key_value_text.hpp
@@ -1,21 +1,18 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace yuccabeam {
 
 /// Value of a `key=value` line; quoted when it would break the form.
-inline std::string quoted_value(std::string_view value) {
-    if (!value.empty() && value.find_first_of(" \"=\n\r") == std::string::npos)
-        return std::string(value);
-    std::string text = "\"";
-    for (char const c : value) {
-        if (c == '"' || c == '\\')
-            text += '\\';
-        text += c == '\n' || c == '\r' ? ' ' : c;
-    }
-    return text + "\"";
-}
+std::string quoted_value(std::string_view value);
+
+/// Keys and values of a line, in its order. Empty for a line of another form.
+std::optional<std::vector<std::pair<std::string, std::string>>>
+parse_key_values(std::string_view line);
 
 } // namespace yuccabeam
--- a/src/yuccabeam/ctl/main.cpp
+++ b/src/yuccabeam/ctl/main.cpp
@@ -1,3 +1,4 @@
+#include "yuccabeam/ctl/log_story.hpp"
 #include "yuccabeam/ctl/session.hpp"
 
 #include <charconv>
@@ -86,7 +87,18 @@
     return base;
 }
 
+/// `logs` reads files only; it works where no daemon can be asked.
+int run_on_logs(words const& arguments) {
+    if (arguments.size() < 4 || arguments[1] != "explain")
+        return input_fault("wrong command or arguments\n\n" +
+                           std::string(ctl::usage()));
+    return finish(ctl::explain_from_logs(
+        arguments[2], words(arguments.begin() + 3, arguments.end())));
+}
+
 int run(words arguments) {
+    if (arguments.front() == "logs")
+        return run_on_logs(arguments);
     std::ifstream file(FLAGS_settings);
     if (!file)
         return input_fault("cannot read --settings " + FLAGS_settings);
--- a/src/yuccabeam/ctl/session.cpp
+++ b/src/yuccabeam/ctl/session.cpp
@@ -36,13 +36,17 @@
                      the printed file too
   status             what each daemon has in force and whether it is ready
   explain target ID | service ID | config | request ID
+  logs explain ID FILE...
+                     a request's story and the cause of its end from the
+                     daemons' collected logs; needs no --settings
 
 --base names the revision that your files start from: items that another
 operator changed since then are reported as conflicts and not overwritten. A
 file made by show names its revision itself.
 
 Exit codes: 0 done, 2 fault in the input, 3 conflict, or settle found that
-the edit was not accepted, 4 unknown outcome, 5 unreachable)";
+the edit was not accepted, 4 unknown outcome, 5 unreachable, 6 the logs have
+no line on the request)";
 
 outcome input_fault(std::string text) {
     return {exit_code::input_fault, text + "\n", {{"error", text}}};
--- /dev/null
+++ b/src/yuccabeam/gateway/belief_text.cpp
@@ -0,0 +1,85 @@
+#include "yuccabeam/gateway/belief_text.hpp"
+
+#include <cmath>
+
+namespace yuccabeam::gateway {
+
+namespace {
+
+using placement::notice_kind;
+using placement::target_belief;
+using placement::target_evidence;
+
+std::string age(duration value) {
+    return std::to_string(to_milliseconds(value)) + " ms";
+}
+
+std::string_view state_words(target_belief const& belief) {
+    if (belief.vanished)
+        return "has no entry in the store any more and gets new requests only "
+               "for lack of others";
+    if (belief.leaving)
+        return "is leaving: it gets no new requests";
+    if (belief.unreachable)
+        return "takes no connections from this daemon and is left alone for "
+               "some seconds";
+    if (belief.suspected)
+        return "is suspected: it gets requests that may not be repeated only "
+               "for lack of better targets, and a trial now and then";
+    return "is in use";
+}
+
+std::string_view evidence_words(notice_kind kind) {
+    switch (kind) {
+    case notice_kind::failed:
+        return "a request was reset or its answer was broken";
+    case notice_kind::doubted:
+        return "it answered with an error of its own or took long";
+    case notice_kind::success:
+        return "a request succeeded";
+    case notice_kind::trial:
+        break;
+    }
+    return "a trial was sent";
+}
+
+} // namespace
+
+std::string percent_text(double share) {
+    return std::to_string(std::lround(share * 100));
+}
+
+telemetry::log_fields
+belief_fields(double risk, std::optional<target_evidence> const& evidence,
+              time_point now) {
+    telemetry::log_fields out{{"risk_percent", percent_text(risk)}};
+    if (!evidence) {
+        out.push_back({"evidence", "none"});
+        return out;
+    }
+    out.push_back({"evidence", std::string(to_string(evidence->kind))});
+    out.push_back({"evidence_from", evidence->own ? "self" : "peer"});
+    out.push_back(
+        {"evidence_ms", std::to_string(to_milliseconds(now - evidence->at))});
+    return out;
+}
+
+std::string sentences_of(target_belief const& belief, time_point now) {
+    std::string out = "Target " + belief.target.value + " of service " +
+                      belief.service.value + " ";
+    out += state_words(belief);
+    if (belief.suspected)
+        out += ", for " + age(belief.suspected_for);
+    out += ". Probability that it fails requests: " +
+           percent_text(belief.failing) + "%. Requests of this daemon there: " +
+           std::to_string(belief.in_flight) + ".\n";
+    if (!belief.evidence)
+        return out + "Nothing was learnt of it yet.\n";
+    out += "Last evidence, " + age(now - belief.evidence->at) + " ago, ";
+    out += belief.evidence->own ? "seen by this daemon: "
+                                : "told by another daemon: ";
+    out += evidence_words(belief.evidence->kind);
+    return out + ".\n";
+}
+
+} // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -2,6 +2,8 @@
 
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/gateway/answers.hpp"
+#include "yuccabeam/gateway/belief_text.hpp"
+#include "yuccabeam/gateway/control_service.hpp"
 #include "yuccabeam/gateway/counters.hpp"
 #include "yuccabeam/gateway/drain.hpp"
 #include "yuccabeam/gateway/exchange.hpp"
@@ -12,7 +14,6 @@
 #include "yuccabeam/routing/route_table.hpp"
 
 #include <asio.hpp>
-#include <charconv>
 #include <map>
 #include <random>
 #include <utility>
@@ -50,14 +51,6 @@
     return out;
 }
 
-http1::outgoing_response text_answer(int status, std::string body) {
-    http1::outgoing_response out;
-    out.status = status;
-    out.fields = {{"Content-Type", "text/plain; version=0.0.4"}};
-    out.body = std::move(body);
-    return out;
-}
-
 } // namespace
 
 struct entry_daemon::implementation
@@ -98,12 +91,12 @@
     void log_refusal(std::string const& id, std::string_view reason);
     void answer_readiness(http1::incoming_request const& request,
                           http1::responder_ptr const& caller);
-    void answer_control(http1::incoming_request const& request,
-                        http1::responder_ptr const& caller);
-    void answer_changes(std::string_view after,
-                        http1::responder_ptr const& caller);
-    std::string metrics_text();
-    std::string state_text();
+
+    // Control address.
+    control_parts make_control_parts();
+    std::string changes_after(std::uint64_t revision);
+    void refresh_gauges();
+    daemon_state state(time_point now) const;
 
     // Life of the process.
     result<void> listen();
@@ -134,6 +127,7 @@
 
     waiting_room waiting;
     traffic_policy policy;
+    time_point policy_applied_at{};
     std::uint64_t policy_read_at = 0; ///< store's revision of the last text
     routing::route_table routes;
     bool notes_read = false;
@@ -231,6 +225,7 @@
         return;
     auto const before = policy.revision;
     policy = std::move(parsed.value());
+    policy_applied_at = boot_now();
     routes = routing::route_table(policy.routes);
     counters.count("policies_applied");
     counters.set("policy_revision", static_cast<double>(policy.revision));
@@ -323,8 +318,11 @@
     if (notice) {
         auto const event = "target_" + std::string(to_string(notice->kind));
         counters.count(event);
-        log.write(event, {{"target", notice->target.value},
-                          {"service", service.value}});
+        telemetry::log_fields fields{{"target", notice->target.value},
+                                     {"service", service.value}};
+        if (auto const belief = book.belief_of(notice->target, boot_now()))
+            fields.push_back({"risk_percent", percent_text(belief->failing)});
+        log.write(event, fields);
     }
     peers.tell(notice, service, repeated);
 }
@@ -471,36 +469,21 @@
     caller->send(text_answer(!known ? 404 : ready() ? 200 : 503, ""));
 }
 
-void implementation::answer_control(http1::incoming_request const& request,
-                                    http1::responder_ptr const& caller) {
-    std::string_view const target = request.head.target;
-    constexpr std::string_view changes = "/fleet/changes?after=";
-    if (target.starts_with(changes))
-        answer_changes(target.substr(changes.size()), caller);
-    else if (target == "/metrics")
-        caller->send(text_answer(200, metrics_text()));
-    else if (target == "/state")
-        caller->send(text_answer(200, state_text()));
-    else
-        caller->send(text_answer(404, ""));
-}
-
-void implementation::answer_changes(std::string_view after,
-                                    http1::responder_ptr const& caller) {
-    std::uint64_t revision = 0;
-    std::from_chars(after.data(), after.data() + after.size(), revision);
-    if (!store->loaded()) {
-        caller->send(text_answer(503, ""));
-        return;
-    }
+control_parts implementation::make_control_parts() {
+    return {[this] { refresh_gauges(); }, counters,
+            [this] { return state(boot_now()); },
+            [this](std::uint64_t revision) { return changes_after(revision); }};
+}
+
+std::string implementation::changes_after(std::uint64_t revision) {
+    if (!store->loaded())
+        return {};
     auto addresses = peers.table().addresses();
     addresses.push_back(settings.peers);
-    caller->send(
-        text_answer(200, encode_changes(store->mirror().changes_since(revision),
-                                        addresses)));
+    return encode_changes(store->mirror().changes_since(revision), addresses);
 }
 
-std::string implementation::metrics_text() {
+void implementation::refresh_gauges() {
     auto const now = boot_now();
     counters.clear_targets();
     for (auto const& belief : book.beliefs(now))
@@ -524,27 +507,21 @@
     };
     for (auto const& [name, value] : gauges)
         counters.set(name, value);
-    return counters.text();
 }
 
-std::string implementation::state_text() {
-    auto const now = boot_now();
-    std::string out =
-        "policy=" + std::to_string(policy.revision) +
-        " store_revision=" + std::to_string(store->mirror().revision()) +
-        " peers=" + std::to_string(peers.table().live_count(now)) +
-        " ready=" + (ready() ? "1" : "0") + "\n";
-    for (auto const& belief : book.beliefs(now))
-        out.append("target=")
-            .append(belief.target.value)
-            .append(" service=")
-            .append(belief.service.value)
-            .append(" in_flight=")
-            .append(std::to_string(belief.in_flight))
-            .append(belief.leaving ? " leaving" : "")
-            .append(belief.suspected ? " suspected" : "")
-            .append(belief.unreachable ? " unreachable" : "")
-            .append("\n");
+daemon_state implementation::state(time_point now) const {
+    daemon_state out;
+    out.vm = settings.vm;
+    out.failure_domain = settings.failure_domain.value;
+    out.ready = ready();
+    out.stopping = stopping_since.has_value();
+    out.policy_revision = policy.revision;
+    out.policy_age = now - policy_applied_at;
+    out.routes = policy.routes.size();
+    out.store_revision = store->mirror().revision();
+    out.peers = peers.table().live_count(now);
+    out.targets = book.beliefs(now);
+    out.now = now;
     return out;
 }
 
@@ -566,9 +543,10 @@
         });
     control = std::make_unique<http1::server>(
         executor, defaults,
-        [this](http1::incoming_request const& request,
-               http1::responder_ptr const& caller) {
-            answer_control(request, caller);
+        [answers = std::make_shared<control_service>(make_control_parts())](
+            http1::incoming_request const& request,
+            http1::responder_ptr const& caller) {
+            caller->send(answers->answer(request));
         });
     if (auto done = callers->listen(settings.callers); !done)
         return done;
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/gateway/answers.hpp"
+#include "yuccabeam/gateway/belief_text.hpp"
 
 #include <algorithm>
 #include <asio/steady_timer.hpp>
@@ -323,6 +324,9 @@
              {"sent", std::to_string(course_.attempts_sent())},
              {"running", std::to_string(course_.running())},
              {"next", std::string(to_string(decision))}});
+        auto const basis =
+            belief_fields(done.risk, done.evidence, done.started);
+        fields.insert(fields.end(), basis.begin(), basis.end());
         parts_.log.write("attempt_failed", fields);
     }
 
--- a/src/yuccabeam/gateway/program.cpp
+++ b/src/yuccabeam/gateway/program.cpp
@@ -48,12 +48,32 @@
 
 } // namespace
 
-int run_program(std::string const& settings_path, formats formats) {
-    auto const read = load(settings_path);
+std::optional<program_options>
+parse_arguments(int argc, char const* const* argv, std::string default_path) {
+    program_options out{std::move(default_path)};
+    for (int i = 1; i < argc; ++i) {
+        std::string_view const argument = argv[i];
+        if (argument == "--check")
+            out.check_only = true;
+        else if (argument == "--settings" && i + 1 < argc)
+            out.settings_path = argv[++i];
+        else
+            return std::nullopt;
+    }
+    return out;
+}
+
+int run_program(program_options const& options, formats formats) {
+    auto const& path = options.settings_path;
+    auto const read = load(path);
     if (auto const* faults = std::get_if<std::vector<json_fault>>(&read)) {
-        std::cerr << "settings " << settings_path << ":\n" << describe(*faults);
+        std::cerr << "settings " << path << ":\n" << describe(*faults);
         return exit_bad_settings;
     }
+    if (options.check_only) {
+        std::cout << "No faults.\n";
+        return 0;
+    }
     std::signal(SIGPIPE, SIG_IGN);
     // One thread: the VM has a fifth of one core, and a second thread would
     // only add hand-overs between them.
@@ -64,7 +84,7 @@
         return exit_cannot_start;
     }
     asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-    wait_for_signal(signals, daemon, settings_path);
+    wait_for_signal(signals, daemon, path);
     context.run();
     return 0;
 }
--- /dev/null
+++ b/src/yuccabeam/gateway/settings_test.cpp
@@ -0,0 +1,94 @@
+#include "yuccabeam/gateway/program.hpp"
+#include "yuccabeam/gateway/settings.hpp"
+
+#include <doctest/doctest.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+using namespace yuccabeam;
+using namespace yuccabeam::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+nlohmann::json example() {
+    std::ifstream file(std::string(YUCCABEAM_SOURCE_DIR) +
+                       "/examples/gateway.json");
+    std::stringstream text;
+    text << file.rdbuf();
+    return nlohmann::json::parse(text.str());
+}
+
+std::vector<std::string> fault_paths(nlohmann::json const& document) {
+    auto const parsed = parse_settings(document.dump());
+    std::vector<std::string> out;
+    if (auto const* faults = std::get_if<std::vector<json_fault>>(&parsed))
+        for (auto const& fault : *faults)
+            out.push_back(fault.path);
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("the example of the gateway's settings is read") {
+    auto const parsed = parse_settings(example().dump());
+    REQUIRE(std::holds_alternative<settings>(parsed));
+    auto const& read = std::get<settings>(parsed);
+    CHECK(read.vm == "entry-a-1");
+    CHECK(read.grace == 6s);
+    CHECK(read.failure_domains.size() == 3);
+}
+
+// Guards against wrong settings that are used, and against an operator who
+// has to start the daemon once for each fault.
+TEST_CASE("every fault of the gateway's settings is reported with its path") {
+    struct row {
+        char const* name;
+        nlohmann::json patch; ///< JSON merge patch on the example
+        std::vector<std::string> paths;
+    };
+    row const rows[] = {
+        {"no name", {{"vm", nullptr}}, {"/vm"}},
+        {"host name", {{"callers", "localhost:80"}}, {"/callers"}},
+        {"unknown key", {{"grace", 5}}, {"/grace"}},
+        {"negative time", {{"grace_s", -1}}, {"/grace_s"}},
+        {"ratio out of range", {{"repeat_ratio", 11}}, {"/repeat_ratio"}},
+        {"wrong type", {{"seeds", 5}}, {"/seeds"}},
+        {"two faults",
+         {{"store", 7}, {"repeat_slack", "many"}},
+         {"/store", "/repeat_slack"}},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.name);
+        auto document = example();
+        document.merge_patch(row.patch);
+        CHECK(fault_paths(document) == row.paths);
+    }
+}
+
+TEST_CASE("arguments of the program") {
+    struct row {
+        std::vector<char const*> words;
+        bool good;
+        char const* path;
+        bool check;
+    };
+    row const rows[] = {
+        {{"p"}, true, "default", false},
+        {{"p", "--check"}, true, "default", true},
+        {{"p", "--settings", "f", "--check"}, true, "f", true},
+        {{"p", "--settings"}, false, "", false},
+        {{"p", "--chek"}, false, "", false},
+        {{"p", "file"}, false, "", false},
+    };
+    for (auto const& row : rows) {
+        auto const read = parse_arguments(static_cast<int>(row.words.size()),
+                                          row.words.data(), "default");
+        REQUIRE(read.has_value() == row.good);
+        if (read) {
+            CHECK(read->settings_path == row.path);
+            CHECK(read->check_only == row.check);
+        }
+    }
+}
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -74,6 +74,8 @@
     course_attempt attempt;
     attempt.to = chosen.target.target;
     attempt.suspected = chosen.suspected || chosen.trial;
+    attempt.risk = chosen.risk;
+    attempt.evidence = chosen.evidence;
     attempt.queued = chosen.queued;
     attempt.may_reuse = request_.idempotent && !attempt.suspected;
     attempt.started = now;
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -263,6 +263,8 @@
     auto& entry = *picked.entry;
     choice out;
     out.target = entry.info;
+    out.risk = probability(entry, now);
+    out.evidence = entry.evidence;
     out.suspected = suspected(entry, now);
     out.trial = picked.tier == tier_trial;
     out.queued = in_flight(entry, now) >= entry.info.target.slots;
@@ -388,6 +390,7 @@
     if (!entry || !has_room(entry->info.target.service, now))
         return std::nullopt;
     note_doubt(*entry, now);
+    entry->evidence = {notice_kind::doubted, true, now};
     return target_notice{id, entry->info.started_ms, notice_kind::doubted};
 }
 
@@ -430,6 +433,7 @@
     };
     if (is_failure(outcome)) {
         suspect(*entry, now);
+        entry->evidence = {notice_kind::failed, true, now};
         return notice(notice_kind::failed);
     }
     if (outcome == attempt_outcome::timed_out)
@@ -437,6 +441,7 @@
     if (outcome == attempt_outcome::target_error ||
         outcome == attempt_outcome::kept_reset) {
         note_doubt(*entry, now);
+        entry->evidence = {notice_kind::doubted, true, now};
         return notice(notice_kind::doubted);
     }
     if (outcome == attempt_outcome::not_run)
@@ -448,6 +453,7 @@
     if (before && entry->suspected_since && started < *entry->suspected_since)
         return std::nullopt;
     note_success(*entry, now);
+    entry->evidence = {notice_kind::success, true, now};
     return before ? std::optional(notice(notice_kind::success)) : std::nullopt;
 }
 
@@ -455,6 +461,8 @@
     auto* entry = find(notice.target);
     if (!entry || entry->info.started_ms != notice.started_ms)
         return;
+    if (notice.kind != notice_kind::trial)
+        entry->evidence = {notice.kind, false, now};
     switch (notice.kind) {
     case notice_kind::failed:
         suspect(*entry, now);
@@ -486,19 +494,36 @@
         }));
 }
 
+target_belief target_book::describe(record const& entry, time_point now) const {
+    target_belief out;
+    out.target = entry.info.target.id;
+    out.service = entry.info.target.service;
+    out.in_flight = entry.in_flight;
+    out.leaving = entry.info.leaving;
+    out.unreachable = entry.unreachable(now);
+    out.vanished = entry.vanished_at.has_value();
+    out.failing = probability(entry, now);
+    out.suspected = suspected(entry, now);
+    if (out.suspected && entry.suspected_since)
+        out.suspected_for = now - *entry.suspected_since;
+    out.evidence = entry.evidence;
+    return out;
+}
+
 std::vector<target_belief> target_book::beliefs(time_point now) const {
     std::vector<target_belief> out;
-    for (auto const& [id, entry] : records_) {
-        target_belief belief{id, entry.info.target.service, entry.in_flight};
-        belief.leaving = entry.info.leaving;
-        belief.unreachable = entry.unreachable(now);
-        belief.failing = probability(entry, now);
-        belief.suspected = suspected(entry, now);
-        if (belief.suspected && entry.suspected_since)
-            belief.suspected_for = now - *entry.suspected_since;
-        out.push_back(std::move(belief));
-    }
+    out.reserve(records_.size());
+    for (auto const& [id, entry] : records_)
+        out.push_back(describe(entry, now));
     return out;
 }
 
+std::optional<target_belief> target_book::belief_of(target_id const& id,
+                                                    time_point now) const {
+    auto const found = records_.find(id);
+    if (found == records_.end())
+        return std::nullopt;
+    return describe(found->second, now);
+}
+
 } // namespace yuccabeam::placement
--- a/src/yuccabeam/placement/target_book_test.cpp
+++ b/src/yuccabeam/placement/target_book_test.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/placement/target_book.hpp"
 
 #include <doctest/doctest.h>
+#include <functional>
 #include <set>
 
 using namespace yuccabeam;
@@ -370,3 +371,54 @@
     book.on_end({"t1"}, attempt_outcome::target_error, start, start + 500ms);
     CHECK(sharing(book, wants(false), start + 500ms) == ids{"t2"});
 }
+
+// Guards against an explanation that names evidence that is not the last, or
+// takes what another daemon told for this daemon's own.
+TEST_CASE("the last evidence on a target is kept with its source and time") {
+    target_book book({"a"}, 1);
+    book.replace(targets_named({"t1"}), false, start);
+    CHECK_FALSE(book.belief_of({"t1"}, start)->evidence);
+    CHECK_FALSE(book.belief_of({"t9"}, start));
+    struct row {
+        char const* name;
+        std::function<void(time_point)> event;
+        target_evidence expected;
+    };
+    auto const ends = [&](attempt_outcome outcome) {
+        return [&book, outcome](time_point now) {
+            book.on_start({"t1"});
+            book.on_end({"t1"}, outcome, now, now);
+        };
+    };
+    auto const told = [&](notice_kind kind) {
+        return [&book, kind](time_point now) {
+            book.on_peer({{"t1"}, 1, kind}, now);
+        };
+    };
+    row const rows[] = {
+        {"reset", ends(attempt_outcome::reset), {notice_kind::failed, true}},
+        {"told success",
+         told(notice_kind::success),
+         {notice_kind::success, false}},
+        {"own error",
+         ends(attempt_outcome::target_error),
+         {notice_kind::doubted, true}},
+        {"success",
+         ends(attempt_outcome::success),
+         {notice_kind::success, true}},
+        {"told failure",
+         told(notice_kind::failed),
+         {notice_kind::failed, false}},
+    };
+    auto now = start;
+    for (auto row : rows) {
+        CAPTURE(row.name);
+        now += 10s;
+        row.event(now);
+        row.expected.at = now;
+        CHECK(book.belief_of({"t1"}, now)->evidence == row.expected);
+        // A trial is a question, not evidence.
+        book.on_peer({{"t1"}, 1, notice_kind::trial}, now + 1s);
+        CHECK(book.choose(wants(false), now + 1s)->evidence == row.expected);
+    }
+}
