Replace a second target that takes no connection

Change: an idempotent request whose second target was not reached goes to another one; its repeat was counted already. The test fails without it.

Tried and left: looking for a second target again each 0.2 of the objective when none could be spared.

--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -166,7 +166,9 @@
     if (outcome == attempt_outcome::target_error)
         fallback_ = attempt;
     if (others)
-        return step;
+        return replaces_second(outcome, step.decision)
+                   ? try_next(now, std::move(step))
+                   : step;
     if (step.decision == next_step::try_other)
         return try_next(now, std::move(step));
     if (fallback_)
@@ -174,6 +176,15 @@
     return end(to_string(outcome), std::move(step));
 }
 
+// A second target that was not reached leaves the request where it was: with
+// a target that takes long. Its repeat is counted, so the next one is not.
+bool request_course::replaces_second(attempt_outcome outcome,
+                                     next_step decision) const {
+    return request_.idempotent && checked_ &&
+           outcome == attempt_outcome::connect_failed &&
+           decision == next_step::try_other;
+}
+
 std::optional<target_notice>
 request_course::note_end(course_attempt const& done, attempt_outcome outcome,
                          time_point now, std::size_t answer_bytes) {
--- a/src/yuccabeam/placement/request_course_test.cpp
+++ b/src/yuccabeam/placement/request_course_test.cpp
@@ -150,6 +150,40 @@
     CHECK(f.in_flight() == 0);
 }
 
+// Guards against a request that waits for a target that hangs until its
+// deadline, since the second target took no connection.
+TEST_CASE("a second target that can't be reached is replaced by another") {
+    fixture f;
+    auto course = f.course(true);
+    course.start(start);
+    auto const second = course.on_check(start + 1'200ms);
+    REQUIRE(second.action == course_action::send);
+    auto const third = course.on_attempt_end(
+        second.attempt, attempt_outcome::connect_failed, start + 1'500ms);
+    REQUIRE(third.action == course_action::send);
+    // The repeat that arrived nowhere was told and counted already.
+    for (auto const& news : third.news)
+        CHECK_FALSE(news.repeated);
+    CHECK(f.budget.own(start + 1'500ms).repeats == 1);
+    CHECK(course.running() == 2);
+    auto const end = course.on_attempt_end(
+        third.attempt, attempt_outcome::success, start + 1'900ms);
+    CHECK(end.action == course_action::deliver);
+    CHECK(f.in_flight() == 0);
+}
+
+TEST_CASE("a non-idempotent request never runs at two targets at once") {
+    fixture f;
+    auto course = f.course(false);
+    auto const first = course.start(start);
+    course.on_check(*course.next_check());
+    CHECK(course.running() == 1);
+    auto const second = course.on_attempt_end(
+        first.attempt, attempt_outcome::connect_failed, start + 300ms);
+    CHECK(second.action == course_action::send);
+    CHECK(course.running() == 1);
+}
+
 TEST_CASE("a non-idempotent request that takes long stays where it is, and "
           "its target gets no more of them") {
     fixture f;
