--- /dev/null
+++ b/include/yuccabeam/gateway/policy_keeper.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "yuccabeam/gateway/counters.hpp"
+#include "yuccabeam/gateway/formats.hpp"
+#include "yuccabeam/routing/route_table.hpp"
+#include "yuccabeam/telemetry/event_log.hpp"
+
+#include <cstdint>
+
+namespace yuccabeam::gateway {
+
+/// The configuration in force. It only moves forward within one life of the
+/// process; a text that can't be read changes nothing.
+class policy_keeper {
+public:
+    policy_keeper(content_format const& format, telemetry::event_log& log,
+                  counters& counters)
+        : format_(format), log_(log), counters_(counters) {}
+
+    /// Reads the configuration in the store if it is another text than the
+    /// last one.
+    void update(mirror::store_mirror const& store, time_point now);
+
+    bool empty() const { return policy_.revision == 0; }
+    traffic_policy const& policy() const { return policy_; }
+    routing::route_table const& routes() const { return routes_; }
+    /// When the configuration came into force here.
+    time_point applied_at() const { return applied_at_; }
+
+private:
+    void reject(mirror::stored_item const& item, fault const& reason);
+    void apply(traffic_policy policy, std::uint64_t store_revision);
+
+    content_format const& format_;
+    telemetry::event_log& log_;
+    counters& counters_;
+    traffic_policy policy_;
+    routing::route_table routes_;
+    std::uint64_t read_at_ = 0; ///< store's revision of the last text
+    time_point applied_at_{};
+};
+
+} // namespace yuccabeam::gateway
--- /dev/null
+++ b/include/yuccabeam/gateway/request_router.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "yuccabeam/gateway/exchange.hpp"
+#include "yuccabeam/gateway/policy_keeper.hpp"
+#include "yuccabeam/gateway/waiting_room.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace yuccabeam::gateway {
+
+/// Takes callers' requests: finds the route and starts the exchange, or
+/// answers itself. Requests that come before the first configuration wait.
+class request_router {
+public:
+    /// Both outlive the router.
+    request_router(exchange_parts const& parts, policy_keeper const& policies)
+        : parts_(parts), policies_(policies) {}
+
+    void serve(http1::incoming_request request, http1::responder_ptr caller);
+    /// Serves what has waited once there are a configuration and targets.
+    void serve_waiting();
+    /// Refuses what has waited too long.
+    void expire(time_point now);
+
+private:
+    void refuse_without_policy(waiting_request const& held);
+    void log_refusal(std::string const& id, std::string_view reason);
+
+    exchange_parts const& parts_;
+    policy_keeper const& policies_;
+    waiting_room waiting_;
+};
+
+} // namespace yuccabeam::gateway
--- a/include/yuccabeam/placement/request_course.hpp
+++ b/include/yuccabeam/placement/request_course.hpp
@@ -48,10 +48,10 @@
 /// One attempt at a target.
 struct course_attempt {
     target to;
-    bool suspected = false; ///< when it was chosen
-    double risk = 0;        ///< then
+    bool suspected = false;                  ///< when it was chosen
+    double risk = 0;                         ///< then
     std::optional<target_evidence> evidence; ///< the last before that
-    bool queued = false;    ///< behind as many requests as it has slots
+    bool queued = false; ///< behind as many requests as it has slots
     /// A kept connection may be used. A reset of a new one is the target's
     /// doing, so that a test of a suspected target has a clear outcome; a
     /// non-idempotent request must not meet a connection that closes unseen.
--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/placement/belief.hpp"
 #include "yuccabeam/placement/outcome.hpp"
+#include "yuccabeam/placement/service_loads.hpp"
 #include "yuccabeam/placement/valuation.hpp"
 #include "yuccabeam/values/ids.hpp"
 #include "yuccabeam/values/time.hpp"
@@ -199,15 +200,10 @@
     /// first.
     std::vector<target_activity> domain_activity(time_point now) const;
 
-    /// Requests per second that the whole fleet sends to the service.
-    void set_fleet_rate(service_id const& service, double per_second);
-    /// A good answer: the time that it took, whether it had to wait for a
-    /// slot, and its size.
-    void on_answer(service_id const& service, duration taken, bool queued,
-                   std::size_t bytes);
+    /// What is learnt of the services' requests; choices use it.
+    service_loads& loads() { return loads_; }
+    service_loads const& loads() const { return loads_; }
 
-    /// Usual time to an answer that waits for no slot; 0: unknown.
-    duration service_time(service_id const& service) const;
     std::size_t size(service_id const& service) const;
     std::size_t size() const { return records_.size(); }
     std::vector<target_belief> beliefs(time_point now) const;
@@ -241,20 +237,6 @@
         bool unreachable(time_point now) const;
     };
 
-    /// Mean of the last values; the first ones count alike.
-    struct smoothed_mean {
-        double value = 0;
-        double values = 0;
-
-        void add(double one);
-    };
-
-    struct service_load {
-        double fleet_rate = 0; ///< requests per second
-        smoothed_mean service_seconds;
-        smoothed_mean answer_bytes;
-    };
-
     struct ranked {
         record* entry = nullptr;
         int tier = 0;     ///< lower is better
@@ -285,14 +267,12 @@
     void note_doubt(record& entry, time_point now);
     void note_success(record& entry, time_point now);
     void suspect(record& entry, time_point now);
-    /// Slots that the service's requests take up over the whole fleet.
-    double busy_slots(service_id const& service) const;
 
     failure_domain_id own_domain_;
     book_options options_;
     std::mt19937_64 random_;
     std::map<target_id, record> records_;
-    std::map<service_id, service_load> loads_;
+    service_loads loads_;
 };
 
 } // namespace yuccabeam::placement
--- a/src/yuccabeam/bench/placement_world.cpp
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -457,9 +457,9 @@
 
     void tick() {
         for (auto& vm : daemons_)
-            vm.book->set_fleet_rate(service,
-                                    vm.budget->fleet_requests(now_) /
-                                        to_seconds(vm.budget->window()));
+            vm.book->loads().set_fleet_rate(
+                service, vm.budget->fleet_requests(now_) /
+                             to_seconds(vm.budget->window()));
         after(std::chrono::milliseconds(250), [this] { tick(); });
     }
 
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -1,17 +1,15 @@
 #include "yuccabeam/gateway/entry_daemon.hpp"
 
 #include "yuccabeam/adapters/clock.hpp"
-#include "yuccabeam/gateway/answers.hpp"
 #include "yuccabeam/gateway/belief_text.hpp"
 #include "yuccabeam/gateway/control_service.hpp"
 #include "yuccabeam/gateway/counters.hpp"
 #include "yuccabeam/gateway/drain.hpp"
-#include "yuccabeam/gateway/exchange.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
-#include "yuccabeam/gateway/repeat_note.hpp"
+#include "yuccabeam/gateway/policy_keeper.hpp"
+#include "yuccabeam/gateway/repeat_ledger.hpp"
+#include "yuccabeam/gateway/request_router.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
-#include "yuccabeam/gateway/waiting_room.hpp"
-#include "yuccabeam/routing/route_table.hpp"
 
 #include <asio.hpp>
 #include <map>
@@ -30,7 +28,6 @@
 constexpr duration pull_delay = std::chrono::milliseconds(60);
 // A recent outage of the store explains many targets that vanish at once.
 constexpr duration outage_memory = std::chrono::seconds(3);
-constexpr std::chrono::milliseconds retry_after_unready{300};
 
 yuccabeam::incarnation new_incarnation() {
     return static_cast<yuccabeam::incarnation>(
@@ -45,6 +42,14 @@
     return out;
 }
 
+placement::repeat_budget_options budget_options_of(settings const& settings) {
+    placement::repeat_budget_options out;
+    out.ratio = settings.repeat_ratio;
+    out.fleet_slack = settings.repeat_slack;
+    out.window = settings.repeat_window;
+    return out;
+}
+
 drain_options drain_options_of(settings const& settings) {
     drain_options out;
     out.grace = settings.grace;
@@ -66,7 +71,6 @@
     store_sync_callbacks store_callbacks();
     void on_store_changed(mirror::store_changes const& changes,
                           bool from_store);
-    void apply_policy();
     void apply_targets(time_point now);
 
     // Peers.
@@ -76,19 +80,12 @@
     void on_belief(belief_message const& message);
     void tell(std::optional<placement::target_notice> const& notice,
               service_id const& service, bool repeated);
-    void read_repeat_notes(time_point now);
     void write_repeat_notes(time_point now);
     void catch_up(time_point now);
     void pull_from_seed(time_point now);
 
     // Requests.
     exchange_parts make_parts();
-    placement::repeat_budget& budget(service_id const& id);
-    bool may_repeat(service_id const& id, time_point now);
-    void serve(http1::incoming_request request, http1::responder_ptr caller);
-    void refuse_without_policy(waiting_request const& held);
-    void serve_waiting();
-    void log_refusal(std::string const& id, std::string_view reason);
     void answer_readiness(http1::incoming_request const& request,
                           http1::responder_ptr const& caller);
 
@@ -116,7 +113,7 @@
     http1::client targets;
     http1::client control_client;
     placement::target_book book;
-    std::map<service_id, placement::repeat_budget> budgets;
+    repeat_ledger repeats;
     peer_link peers;
     std::shared_ptr<store_sync> store;
     exchange_parts parts;
@@ -125,12 +122,8 @@
     std::unique_ptr<http1::server> control;
     asio::steady_timer ticker;
 
-    waiting_room waiting;
-    traffic_policy policy;
-    time_point policy_applied_at{};
-    std::uint64_t policy_read_at = 0; ///< store's revision of the last text
-    routing::route_table routes;
-    bool notes_read = false;
+    policy_keeper policies;
+    request_router router;
     bool was_ready = false;
     std::optional<time_point> stopping_since;
     std::optional<time_point> outage_seen;
@@ -147,10 +140,12 @@
       random(std::hash<std::string>{}(settings.vm) ^ new_incarnation()),
       targets(context.get_executor()), control_client(context.get_executor()),
       book(settings.failure_domain, random(), book_options_of(settings)),
+      repeats(budget_options_of(settings), formats.content.repeats_prefix),
       peers({settings.peers, settings.control, settings.failure_domain,
              settings.failure_domains.size(), new_incarnation()},
             peer_callbacks()),
-      parts(make_parts()), ticker(context) {}
+      parts(make_parts()), ticker(context),
+      policies(formats.content, log, counters), router(parts, policies) {}
 
 result<void> implementation::start() {
     store_sync_options options;
@@ -193,11 +188,8 @@
 void implementation::on_store_changed(mirror::store_changes const& changes,
                                       bool from_store) {
     auto const now = boot_now();
-    if (!notes_read) {
-        notes_read = true;
-        read_repeat_notes(now);
-    }
-    apply_policy();
+    repeats.read_notes(store->mirror(), log, counters, now);
+    policies.update(store->mirror(), now);
     apply_targets(now);
     auto const& prefix = formats.content.daemon_prefix;
     for (auto const* item : store->mirror().with_prefix(prefix))
@@ -205,35 +197,7 @@
     if (from_store && changes.base != 0)
         peers.pass_on(changes, now);
     note_readiness();
-    serve_waiting();
-}
-
-void implementation::apply_policy() {
-    auto const* item = store->mirror().find(formats.content.policy_key);
-    if (!item || item->revision == policy_read_at)
-        return;
-    policy_read_at = item->revision;
-    auto parsed = formats.content.policy(item->value);
-    if (!parsed) {
-        counters.count("policies_rejected");
-        log.write("policy_rejected",
-                  {{"store_revision", std::to_string(item->revision)},
-                   {"reason", parsed.error().message}});
-        return;
-    }
-    if (parsed.value().revision <= policy.revision)
-        return;
-    auto const before = policy.revision;
-    policy = std::move(parsed.value());
-    policy_applied_at = boot_now();
-    routes = routing::route_table(policy.routes);
-    counters.count("policies_applied");
-    counters.set("policy_revision", static_cast<double>(policy.revision));
-    log.write("policy_applied",
-              {{"revision", std::to_string(policy.revision)},
-               {"before", std::to_string(before)},
-               {"routes", std::to_string(policy.routes.size())},
-               {"store_revision", std::to_string(item->revision)}});
+    router.serve_waiting();
 }
 
 void implementation::apply_targets(time_point now) {
@@ -289,8 +253,7 @@
     out.store_revision = store->mirror().revision();
     out.watching = store->watching() && !stopping_since;
     out.store_trouble = store->in_trouble();
-    for (auto const& [service, budget] : budgets)
-        out.counts[service] = budget.own(boot_now());
+    out.counts = repeats.own(boot_now());
 }
 
 void implementation::on_heartbeat(heartbeat const& message, bool is_new) {
@@ -300,7 +263,7 @@
                   {{"peer", message.sender.value},
                    {"failure_domain", message.failure_domain.value}});
     for (auto const& [service, counts] : message.counts)
-        budget(service).on_peer(message.sender, counts, now);
+        repeats.of(service).on_peer(message.sender, counts, now);
     if (message.store_trouble)
         outage_seen = now;
 }
@@ -310,7 +273,7 @@
     if (message.notice)
         book.on_peer(*message.notice, now);
     if (message.repeated)
-        budget(message.service).on_peer_repeat(now);
+        repeats.of(message.service).on_peer_repeat(now);
 }
 
 void implementation::tell(std::optional<placement::target_notice> const& notice,
@@ -327,35 +290,13 @@
     peers.tell(notice, service, repeated);
 }
 
-// What the fleet has repeated shortly before this daemon started: after a
-// loss of the whole fleet nobody else knows it.
-void implementation::read_repeat_notes(time_point now) {
-    auto const& prefix = formats.content.repeats_prefix;
-    for (auto const* item : store->mirror().with_prefix(prefix)) {
-        auto const counts = read_repeat_note(item->value);
-        service_id const service{item->key.substr(prefix.size())};
-        if (!counts) {
-            counters.count("repeat_notes_rejected");
-            continue;
-        }
-        budget(service).on_history(*counts, now);
-        log.write("repeats_remembered",
-                  {{"service", service.value},
-                   {"repeats", std::to_string(counts->repeats)},
-                   {"requests", std::to_string(counts->requests)},
-                   {"store_revision", std::to_string(item->revision)}});
-    }
-}
-
 void implementation::write_repeat_notes(time_point now) {
     if (!peers.table().is_first(now))
         return;
     auto const window =
         std::chrono::ceil<std::chrono::seconds>(settings.repeat_window);
-    for (auto& [service, budget] : budgets)
-        if (auto const counts = budget.take_note(now))
-            store->put_note(formats.content.repeats_prefix + service.value,
-                            write_repeat_note(*counts), window);
+    for (auto& note : repeats.due_notes(now))
+        store->put_note(note.key, std::move(note.value), window);
 }
 
 void implementation::catch_up(time_point now) {
@@ -394,9 +335,9 @@
                        {},
                        {},
                        {}};
-    out.budget = [this](service_id const& id) { return &budget(id); };
+    out.budget = [this](service_id const& id) { return &repeats.of(id); };
     out.may_repeat = [this](service_id const& id, time_point now) {
-        return may_repeat(id, now);
+        return repeats.allows(id, peers.table(), now);
     };
     out.tell = [this](std::optional<placement::target_notice> const& notice,
                       service_id const& service,
@@ -407,62 +348,6 @@
     return out;
 }
 
-placement::repeat_budget& implementation::budget(service_id const& id) {
-    placement::repeat_budget_options options;
-    options.ratio = settings.repeat_ratio;
-    options.fleet_slack = settings.repeat_slack;
-    options.window = settings.repeat_window;
-    return budgets.try_emplace(id, options).first->second;
-}
-
-bool implementation::may_repeat(service_id const& id, time_point now) {
-    return budget(id).allows(now, peers.table().known_count() + 1,
-                             peers.table().live_count(now));
-}
-
-void implementation::serve(http1::incoming_request request,
-                           http1::responder_ptr caller) {
-    auto const id = request_id_of(request, formats.headers);
-    if (policy.revision == 0) {
-        counters.count("held_for_policy");
-        if (auto refused = waiting.add(
-                {std::move(request), std::move(caller), boot_now()}))
-            refuse_without_policy(*refused);
-        return;
-    }
-    auto const host = http1::field_value(request.head.fields, "Host");
-    auto const* route = routes.find(host, request.head.target);
-    if (!route) {
-        log_refusal(id, "no_route");
-        caller->send(own_answer(404, id, "no_route"));
-        return;
-    }
-    start_exchange(parts, {std::move(request), std::move(caller), *route,
-                           policy.revision});
-}
-
-void implementation::refuse_without_policy(waiting_request const& held) {
-    auto const id = request_id_of(held.request, formats.headers);
-    log_refusal(id, "no_policy");
-    held.caller->send(not_run_answer(id, "no_policy", retry_after_unready));
-}
-
-void implementation::serve_waiting() {
-    if (policy.revision == 0 || book.size() == 0)
-        return;
-    for (auto& held : waiting.take_all())
-        serve(std::move(held.request), std::move(held.caller));
-}
-
-void implementation::log_refusal(std::string const& id,
-                                 std::string_view reason) {
-    counters.count("refused_" + std::string(reason));
-    log.write("request_ended", {{"id", id},
-                                {"outcome", "not_run"},
-                                {"reason", std::string(reason)},
-                                {"policy", std::to_string(policy.revision)}});
-}
-
 void implementation::answer_readiness(http1::incoming_request const& request,
                                       http1::responder_ptr const& caller) {
     bool const known = request.head.target == formats.readiness_path;
@@ -515,9 +400,9 @@
     out.failure_domain = settings.failure_domain.value;
     out.ready = ready();
     out.stopping = stopping_since.has_value();
-    out.policy_revision = policy.revision;
-    out.policy_age = now - policy_applied_at;
-    out.routes = policy.routes.size();
+    out.policy_revision = policies.policy().revision;
+    out.policy_age = now - policies.applied_at();
+    out.routes = policies.policy().routes.size();
     out.store_revision = store->mirror().revision();
     out.peers = peers.table().live_count(now);
     out.targets = book.beliefs(now);
@@ -530,9 +415,9 @@
 result<void> implementation::listen() {
     auto const executor = context.get_executor();
     callers = std::make_unique<http1::server>(
-        executor, [this] { return policy.limits; },
+        executor, [this] { return policies.policy().limits; },
         [this](http1::incoming_request request, http1::responder_ptr caller) {
-            serve(std::move(request), std::move(caller));
+            router.serve(std::move(request), std::move(caller));
         });
     auto const defaults = [] { return http1::caller_limits{}; };
     readiness = std::make_unique<http1::server>(
@@ -556,16 +441,17 @@
 }
 
 bool implementation::ready() const {
-    return !stopping_since && policy.revision > 0 && book.size() > 0;
+    return !stopping_since && !policies.empty() && book.size() > 0;
 }
 
 void implementation::note_readiness() {
     if (ready() == was_ready)
         return;
     was_ready = ready();
-    log.write("readiness", {{"ready", was_ready ? "1" : "0"},
-                            {"policy", std::to_string(policy.revision)},
-                            {"targets", std::to_string(book.size())}});
+    log.write("readiness",
+              {{"ready", was_ready ? "1" : "0"},
+               {"policy", std::to_string(policies.policy().revision)},
+               {"targets", std::to_string(book.size())}});
 }
 
 void implementation::schedule_tick() {
@@ -583,12 +469,10 @@
         outage_seen = now;
     store->tick(now);
     catch_up(now);
-    for (auto const& held : waiting.take_expired(now))
-        refuse_without_policy(held);
+    router.expire(now);
     book.expire(now);
-    for (auto const& [service, budget] : budgets)
-        book.set_fleet_rate(service, budget.fleet_requests(now) /
-                                         to_seconds(budget.window()));
+    for (auto const& [service, rate] : repeats.fleet_rates(now))
+        book.loads().set_fleet_rate(service, rate);
     if (!stopping_since) {
         peers.tick(now);
         write_repeat_notes(now);
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -1,7 +1,7 @@
 #include "yuccabeam/gateway/drain.hpp"
 #include "yuccabeam/gateway/peer_message.hpp"
 #include "yuccabeam/gateway/peer_table.hpp"
-#include "yuccabeam/gateway/repeat_note.hpp"
+#include "yuccabeam/gateway/repeat_ledger.hpp"
 
 #include <doctest/doctest.h>
 #include <random>
--- /dev/null
+++ b/src/yuccabeam/gateway/request_router.cpp
@@ -0,0 +1,67 @@
+#include "yuccabeam/gateway/request_router.hpp"
+
+#include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/gateway/answers.hpp"
+
+#include <utility>
+
+namespace yuccabeam::gateway {
+
+namespace {
+
+using adapters::boot_now;
+
+constexpr std::chrono::milliseconds retry_after_unready{300};
+
+} // namespace
+
+void request_router::serve(http1::incoming_request request,
+                           http1::responder_ptr caller) {
+    if (policies_.empty()) {
+        parts_.counters.count("held_for_policy");
+        if (auto refused = waiting_.add(
+                {std::move(request), std::move(caller), boot_now()}))
+            refuse_without_policy(*refused);
+        return;
+    }
+    auto const host = http1::field_value(request.head.fields, "Host");
+    auto const* route = policies_.routes().find(host, request.head.target);
+    if (!route) {
+        auto const id = request_id_of(request, parts_.headers);
+        log_refusal(id, "no_route");
+        caller->send(own_answer(404, id, "no_route"));
+        return;
+    }
+    start_exchange(parts_, {std::move(request), std::move(caller), *route,
+                            policies_.policy().revision});
+}
+
+void request_router::serve_waiting() {
+    if (policies_.empty() || parts_.book.size() == 0)
+        return;
+    for (auto& held : waiting_.take_all())
+        serve(std::move(held.request), std::move(held.caller));
+}
+
+void request_router::expire(time_point now) {
+    for (auto const& held : waiting_.take_expired(now))
+        refuse_without_policy(held);
+}
+
+void request_router::refuse_without_policy(waiting_request const& held) {
+    auto const id = request_id_of(held.request, parts_.headers);
+    log_refusal(id, "no_policy");
+    held.caller->send(not_run_answer(id, "no_policy", retry_after_unready));
+}
+
+void request_router::log_refusal(std::string const& id,
+                                 std::string_view reason) {
+    parts_.counters.count("refused_" + std::string(reason));
+    parts_.log.write("request_ended",
+                     {{"id", id},
+                      {"outcome", "not_run"},
+                      {"reason", std::string(reason)},
+                      {"policy", std::to_string(policies_.policy().revision)}});
+}
+
+} // namespace yuccabeam::gateway
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -101,7 +101,7 @@
         return share_of(request_.latency_objective, options_.hedge_share);
     auto const latest =
         share_of(request_.latency_objective, options_.overdue_share);
-    auto const usual = parts_.book.service_time(request_.service);
+    auto const usual = parts_.book.loads().service_time(request_.service);
     if (usual <= duration{})
         return latest;
     return std::min(latest, share_of(usual, options_.overdue_factor));
@@ -190,8 +190,8 @@
                          time_point now, std::size_t answer_bytes) {
     auto notice = parts_.book.on_end(done.to.id, outcome, done.started, now);
     if (outcome == attempt_outcome::success)
-        parts_.book.on_answer(request_.service, now - done.started, done.queued,
-                              answer_bytes);
+        parts_.book.loads().on_answer(request_.service, now - done.started,
+                                      done.queued, answer_bytes);
     if (outcome == attempt_outcome::wrong_target)
         parts_.book.on_address_taken(done.to.id);
     if (outcome == attempt_outcome::connect_failed)
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -198,15 +198,12 @@
 }
 
 demand target_book::demand_of(choice_request const& wanted) const {
-    constexpr double bytes_per_mb = 1e6;
     demand out;
     out.repeatable = wanted.repeatable;
     out.time_left = wanted.time_left;
     out.objective_left = wanted.objective_left;
-    if (auto const load = loads_.find(wanted.service); load != loads_.end()) {
-        out.service_time = from_seconds(load->second.service_seconds.value);
-        out.answer_mb = load->second.answer_bytes.value / bytes_per_mb;
-    }
+    out.service_time = loads_.service_time(wanted.service);
+    out.answer_mb = loads_.answer_mb(wanted.service);
     return out;
 }
 
@@ -276,32 +273,6 @@
     return out;
 }
 
-double target_book::busy_slots(service_id const& service) const {
-    auto const load = loads_.find(service);
-    return load == loads_.end()
-               ? 0
-               : load->second.fleet_rate * load->second.service_seconds.value;
-}
-
-void target_book::set_fleet_rate(service_id const& service, double per_second) {
-    loads_[service].fleet_rate = per_second;
-}
-
-void target_book::smoothed_mean::add(double one) {
-    constexpr double most_values = 50;
-    values = std::min(values + 1, most_values);
-    value += (one - value) / values;
-}
-
-void target_book::on_answer(service_id const& service, duration taken,
-                            bool queued, std::size_t bytes) {
-    auto& load = loads_[service];
-    load.answer_bytes.add(static_cast<double>(bytes));
-    // Time in a queue belongs to the queue, which is counted apart.
-    if (!queued || load.service_seconds.values == 0)
-        load.service_seconds.add(to_seconds(taken));
-}
-
 bool target_book::has_choice(choice_request const& wanted,
                              time_point now) const {
     return !const_cast<target_book*>(this)->candidates(wanted, now).empty();
@@ -401,7 +372,7 @@
             !entry.vanished_at && !suspected(entry, now) &&
             !entry.unreachable(now))
             slots += entry.info.target.slots;
-    return busy_slots(service) < options_.room_utilisation * slots;
+    return loads_.busy_slots(service) < options_.room_utilisation * slots;
 }
 
 void target_book::suspect(record& entry, time_point now) {
@@ -479,13 +450,6 @@
     }
 }
 
-duration target_book::service_time(service_id const& service) const {
-    auto const load = loads_.find(service);
-    return load == loads_.end()
-               ? duration{}
-               : from_seconds(load->second.service_seconds.value);
-}
-
 std::size_t target_book::size(service_id const& service) const {
     return static_cast<std::size_t>(
         std::ranges::count_if(records_, [&](auto const& named) {
