Tell all daemons when another target has a target's address

Ruled out: late news of the store (10 ms between daemons), overload (free slots elsewhere).

Change: the 421 is told like a failure; all daemons end their belief in that life of the target.

--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -56,11 +56,12 @@
 
 /// What a daemon tells its peers about a target.
 enum class notice_kind : std::uint8_t {
-    failed,  ///< a request failed there
-    trial,   ///< a trial request is on its way
-    success, ///< a request succeeded while the target was suspected
-    doubted, ///< an error of its own, or an answer that takes long
-    last = doubted
+    failed,   ///< a request failed there
+    trial,    ///< a trial request is on its way
+    success,  ///< a request succeeded while the target was suspected
+    doubted,  ///< an error of its own, or an answer that takes long
+    replaced, ///< another target has its address
+    last = replaced
 };
 
 std::string_view to_string(notice_kind value);
@@ -123,6 +124,7 @@
     double failing = 0;       ///< probability that it fails requests
     duration suspected_for{}; ///< time since the suspicion began
     bool vanished = false;    ///< its entry is gone
+    bool replaced = false;    ///< another target has its address
     std::optional<target_evidence> evidence; ///< the last
 };
 
@@ -182,8 +184,6 @@
                                             time_point now);
     /// An attempt that was given up; says nothing about the target.
     void on_cancel(target_id const& id);
-    /// Another target has the address; this life of the target is over.
-    void on_address_taken(target_id const& id);
 
     void on_peer(target_notice const& notice, time_point now);
     /// What a daemon of this failure domain has at a target.
--- a/src/yuccabeam/gateway/belief_text.cpp
+++ b/src/yuccabeam/gateway/belief_text.cpp
@@ -18,6 +18,8 @@
     if (belief.vanished)
         return "has no entry in the store any more and gets new requests only "
                "for lack of others";
+    if (belief.replaced)
+        return "is gone: another target has its address";
     if (belief.leaving)
         return "is leaving: it gets no new requests";
     if (belief.unreachable)
@@ -37,6 +39,8 @@
         return "it answered with an error of its own or took long";
     case notice_kind::success:
         return "a request succeeded";
+    case notice_kind::replaced:
+        return "another target answered at its address";
     case notice_kind::trial:
         break;
     }
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -41,6 +41,11 @@
             {"svc"},
             true},
         belief_message{{"x"}, std::nullopt, {"svc"}, true},
+        belief_message{{"x"},
+                       placement::target_notice{
+                           {"t"}, 7, placement::notice_kind::replaced},
+                       {"svc"},
+                       false},
         activity_message{{"x"}, {{{"t"}, 5, 3}, {{"u"}, 6, 0}}},
         domain_activity_message{{"x"}, {"a"}, true, {{{"t"}, 5, 9}}},
         change_message{{"x"},
--- a/src/yuccabeam/gateway/queries.cpp
+++ b/src/yuccabeam/gateway/queries.cpp
@@ -21,6 +21,8 @@
 std::string_view state_name(target_belief const& belief) {
     if (belief.vanished)
         return "vanished";
+    if (belief.replaced)
+        return "replaced";
     if (belief.leaving)
         return "leaving";
     if (belief.unreachable)
--- a/src/yuccabeam/gateway/queries_test.cpp
+++ b/src/yuccabeam/gateway/queries_test.cpp
@@ -97,6 +97,7 @@
     };
     row const rows[] = {
         {"vanished", [](auto& one) { one.vanished = one.leaving = true; }},
+        {"replaced", [](auto& one) { one.replaced = one.leaving = true; }},
         {"leaving", [](auto& one) { one.leaving = one.suspected = true; }},
         {"unreachable", [](auto& one) { one.unreachable = true; }},
         {"suspected", [](auto& one) { one.suspected = true; }},
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -192,8 +192,6 @@
     if (outcome == attempt_outcome::success)
         parts_.book.loads().on_answer(request_.service, now - done.started,
                                       done.queued, answer_bytes);
-    if (outcome == attempt_outcome::wrong_target)
-        parts_.book.on_address_taken(done.to.id);
     if (outcome == attempt_outcome::connect_failed)
         --sent_;
     else
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -33,6 +33,8 @@
         return "success";
     case notice_kind::doubted:
         return "doubted";
+    case notice_kind::replaced:
+        return "replaced";
     }
     return "unknown";
 }
@@ -331,11 +333,6 @@
         --entry->in_flight;
 }
 
-void target_book::on_address_taken(target_id const& id) {
-    if (auto* entry = find(id))
-        entry->address_taken = true;
-}
-
 void target_book::note_doubt(record& entry, time_point now) {
     bool const before = suspected(entry, now);
     weigh(entry,
@@ -407,6 +404,11 @@
         entry->evidence = {notice_kind::failed, true, now};
         return notice(notice_kind::failed);
     }
+    if (outcome == attempt_outcome::wrong_target) {
+        entry->address_taken = true;
+        entry->evidence = {notice_kind::replaced, true, now};
+        return notice(notice_kind::replaced);
+    }
     if (outcome == attempt_outcome::timed_out)
         return on_overdue(id, now);
     if (outcome == attempt_outcome::target_error ||
@@ -447,6 +449,9 @@
     case notice_kind::doubted:
         note_doubt(*entry, now);
         break;
+    case notice_kind::replaced:
+        entry->address_taken = true;
+        break;
     }
 }
 
@@ -466,6 +471,7 @@
     out.leaving = entry.info.leaving;
     out.unreachable = entry.unreachable(now);
     out.vanished = entry.vanished_at.has_value();
+    out.replaced = entry.address_taken;
     out.failing = probability(entry, now);
     out.suspected = suspected(entry, now);
     if (out.suspected && entry.suspected_since)
--- a/src/yuccabeam/placement/target_book_test.cpp
+++ b/src/yuccabeam/placement/target_book_test.cpp
@@ -334,16 +334,38 @@
     CHECK(chosen(book, wants(false), start + 1s) == ids{"t1", "t2"});
 }
 
-TEST_CASE("another target at the address ends this life of the target") {
-    target_book book({"a"}, 1);
+// Guards against a fleet whose daemons find out one by one that a target is
+// gone, each at the cost of a request's attempt.
+TEST_CASE("another target at the address ends this life of the target, here "
+          "and at all daemons that are told") {
     auto list = targets_named({"t1"});
+    target_book book({"a"}, 1);
+    target_book peer({"b"}, 2);
+    target_book ahead({"b"}, 3);
     book.replace(list, false, start);
-    book.on_address_taken({"t1"});
-    book.replace(list, false, start + 1s);
-    CHECK(chosen(book, wants(true), start + 1s).empty());
+    peer.replace(list, false, start);
+    book.on_start({"t1"});
+    auto const notice =
+        book.on_end({"t1"}, attempt_outcome::wrong_target, start, start);
+    REQUIRE(notice);
+    CHECK(notice->kind == notice_kind::replaced);
+    peer.on_peer(*notice, start);
+    list[0].started_ms = 2;
+    ahead.replace(list, false, start);
+    ahead.on_peer(*notice, start);
+    CHECK(chosen(ahead, wants(true), start) == ids{"t1"});
+
+    list[0].started_ms = 1;
+    for (auto* one : {&book, &peer}) {
+        one->replace(list, false, start + 1s);
+        CHECK(chosen(*one, wants(true), start + 1s).empty());
+        CHECK(one->belief_of({"t1"}, start)->replaced);
+    }
     list[0].started_ms = 2;
-    book.replace(list, false, start + 2s);
-    CHECK(chosen(book, wants(true), start + 2s) == ids{"t1"});
+    for (auto* one : {&book, &peer}) {
+        one->replace(list, false, start + 2s);
+        CHECK(chosen(*one, wants(true), start + 2s) == ids{"t1"});
+    }
 }
 
 TEST_CASE("a request that failed once goes to a good target, not to another "
