Judge lateness by the usual time of a request's own kind

A target is in doubt after three times the usual time to an answer, and after a start that mean rests on a handful of answers, many of them to short requests of other routes.

Change: the usual time is learnt for idempotent and other requests apart and counts from eight answers on; before that the latency objective decides. The test's row of a few answers gives 60 ms instead of 2.5 s without it.

--- a/include/yuccabeam/placement/service_loads.hpp
+++ b/include/yuccabeam/placement/service_loads.hpp
@@ -5,21 +5,31 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 
 namespace yuccabeam::placement {
 
+/// A good answer, as far as it tells of the service's requests.
+struct good_answer {
+    duration taken{};
+    bool queued = false;     ///< it had to wait for a slot
+    bool idempotent = false; ///< the request may be repeated
+    std::size_t bytes = 0;
+};
+
 /// What is learnt of each service's requests: their rate over the fleet, the
 /// usual time to an answer, and its size.
 class service_loads {
 public:
     void set_fleet_rate(service_id const& service, double per_second);
-    /// A good answer: the time that it took, whether it had to wait for a
-    /// slot, and its size.
-    void on_answer(service_id const& service, duration taken, bool queued,
-                   std::size_t bytes);
+    void on_answer(service_id const& service, good_answer const& answer);
 
     /// Usual time to an answer that waits for no slot; 0: unknown.
     duration service_time(service_id const& service) const;
+    /// The same for requests of one kind, which may have more or less work
+    /// than the others; empty until enough of them are known.
+    std::optional<duration> usual_time(service_id const& service,
+                                       bool idempotent) const;
     /// Usual size of an answer, in MB; 0: unknown.
     double answer_mb(service_id const& service) const;
     /// Slots that the service's requests take up over the whole fleet.
@@ -37,6 +47,8 @@
     struct load {
         double fleet_rate = 0; ///< requests per second
         smoothed_mean service_seconds;
+        smoothed_mean idempotent_seconds;
+        smoothed_mean other_seconds;
         smoothed_mean answer_bytes;
     };
 
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -101,10 +101,11 @@
         return share_of(request_.latency_objective, options_.hedge_share);
     auto const latest =
         share_of(request_.latency_objective, options_.overdue_share);
-    auto const usual = parts_.book.loads().service_time(request_.service);
-    if (usual <= duration{})
+    auto const usual =
+        parts_.book.loads().usual_time(request_.service, request_.idempotent);
+    if (!usual)
         return latest;
-    return std::min(latest, share_of(usual, options_.overdue_factor));
+    return std::min(latest, share_of(*usual, options_.overdue_factor));
 }
 
 course_step request_course::end(std::string_view reason, course_step step) {
@@ -190,8 +191,9 @@
                          time_point now, std::size_t answer_bytes) {
     auto notice = parts_.book.on_end(done.to.id, outcome, done.started, now);
     if (outcome == attempt_outcome::success)
-        parts_.book.loads().on_answer(request_.service, now - done.started,
-                                      done.queued, answer_bytes);
+        parts_.book.loads().on_answer(request_.service,
+                                      {now - done.started, done.queued,
+                                       request_.idempotent, answer_bytes});
     if (outcome == attempt_outcome::connect_failed)
         --sent_;
     else
--- a/src/yuccabeam/placement/request_course_test.cpp
+++ b/src/yuccabeam/placement/request_course_test.cpp
@@ -231,3 +231,39 @@
     CHECK(course.attempts()[0].suspected);
     CHECK_FALSE(course.attempts()[0].may_reuse);
 }
+
+// Guards against sound targets that are doubted after a start, when the first
+// answers were to short requests of another kind or there were only a few.
+TEST_CASE("when a non-idempotent request takes long, by the answers before") {
+    struct row {
+        char const* name;
+        int short_idempotent; ///< answers after 20 ms
+        int short_others;
+        int usual_others; ///< answers after 400 ms
+        duration check_after;
+    };
+    row const rows[] = {
+        {"nothing known", 0, 0, 0, 2'500ms},
+        {"only short requests of the other kind", 50, 0, 0, 2'500ms},
+        {"a few answers", 0, 3, 0, 2'500ms},
+        {"enough answers", 0, 0, 8, 1'200ms},
+        {"both kinds", 50, 0, 8, 1'200ms},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.name);
+        fixture f;
+        auto const answers = [&](int count, duration taken, bool idempotent) {
+            for (int i = 0; i < count; ++i)
+                f.book.loads().on_answer({"svc"}, {taken, false, idempotent});
+        };
+        answers(row.short_idempotent, 20ms, true);
+        answers(row.short_others, 20ms, false);
+        answers(row.usual_others, 400ms, false);
+        auto course = f.course(false);
+        course.start(start);
+        auto const due = course.next_check();
+        REQUIRE(due);
+        CHECK(to_milliseconds(*due - start) ==
+              doctest::Approx(to_milliseconds(row.check_after)));
+    }
+}
--- a/src/yuccabeam/placement/service_loads.cpp
+++ b/src/yuccabeam/placement/service_loads.cpp
@@ -4,6 +4,14 @@
 
 namespace yuccabeam::placement {
 
+namespace {
+
+// The mean of fewer answers may be far too short, as some requests have hardly
+// any work, and sound targets then look late.
+constexpr double least_answers = 8;
+
+} // namespace
+
 void service_loads::smoothed_mean::add(double one) {
     constexpr double most_values = 50;
     values = std::min(values + 1, most_values);
@@ -21,13 +29,29 @@
     loads_[service].fleet_rate = per_second;
 }
 
-void service_loads::on_answer(service_id const& service, duration taken,
-                              bool queued, std::size_t bytes) {
+void service_loads::on_answer(service_id const& service,
+                              good_answer const& answer) {
     auto& load = loads_[service];
-    load.answer_bytes.add(static_cast<double>(bytes));
+    load.answer_bytes.add(static_cast<double>(answer.bytes));
     // Time in a queue belongs to the queue, which is counted apart.
-    if (!queued || load.service_seconds.values == 0)
-        load.service_seconds.add(to_seconds(taken));
+    if (answer.queued && load.service_seconds.values > 0)
+        return;
+    double const seconds = to_seconds(answer.taken);
+    load.service_seconds.add(seconds);
+    (answer.idempotent ? load.idempotent_seconds : load.other_seconds)
+        .add(seconds);
+}
+
+std::optional<duration> service_loads::usual_time(service_id const& service,
+                                                  bool idempotent) const {
+    auto const* load = find(service);
+    if (!load)
+        return std::nullopt;
+    auto const& seconds =
+        idempotent ? load->idempotent_seconds : load->other_seconds;
+    if (seconds.values < least_answers)
+        return std::nullopt;
+    return from_seconds(seconds.value);
 }
 
 duration service_loads::service_time(service_id const& service) const {
--- a/src/yuccabeam/placement/target_book_test.cpp
+++ b/src/yuccabeam/placement/target_book_test.cpp
@@ -169,7 +169,7 @@
         CAPTURE(row.guards);
         target_book book({"a"}, 1);
         book.replace(targets_named({"t1", "t2", "t3"}), false, start);
-        book.loads().on_answer({"svc"}, 500ms, false, 0);
+        book.loads().on_answer({"svc"}, {500ms, false, false, 0});
         book.on_peer({{"t1"}, 1, notice_kind::failed}, start);
         book.on_peer({{"t2"}, 1, notice_kind::failed}, start + 1s);
         // No trial is due.
@@ -183,7 +183,7 @@
           "answered: in a burst every sound target's queue is longer") {
     target_book book({"a"}, 1);
     book.replace(targets_named({"t1", "t2"}), false, start);
-    book.loads().on_answer({"svc"}, 500ms, false, 0);
+    book.loads().on_answer({"svc"}, {500ms, false, false, 0});
     book.on_peer({{"t1"}, 1, notice_kind::failed}, start);
     load(book, "t2", 18, start);
     auto wanted = wants(false);
@@ -222,7 +222,7 @@
         target_book book({"a"}, 1);
         book.replace({target_named("near", "a"), target_named("far", "b")},
                      false, start);
-        book.loads().on_answer({"svc"}, 500ms, false, row.bytes);
+        book.loads().on_answer({"svc"}, {500ms, false, false, row.bytes});
         load(book, "near", 5, start);
         CHECK(chosen(book, wants(true), start) == row.expected);
     }
@@ -294,7 +294,7 @@
           "second one for longer") {
     target_book book({"a"}, 1);
     book.replace(targets_named({"t1", "t2"}), false, start);
-    book.loads().on_answer({"svc"}, 500ms, false, 0);
+    book.loads().on_answer({"svc"}, {500ms, false, false, 0});
     book.loads().set_fleet_rate({"svc"}, 2);
     book.on_end({"t1"}, attempt_outcome::target_error, start, start);
     CHECK(sharing(book, wants(false), start) == ids{"t2"});
@@ -317,7 +317,7 @@
 TEST_CASE("a late answer in a crowd is no evidence against the target") {
     target_book book({"a"}, 1);
     book.replace(targets_named({"t1", "t2"}), false, start);
-    book.loads().on_answer({"svc"}, 1s, false, 0);
+    book.loads().on_answer({"svc"}, {1s, false, false, 0});
     book.loads().set_fleet_rate({"svc"}, 1);
     CHECK(book.on_overdue({"t1"}, start));
     book.loads().set_fleet_rate({"svc"}, 10);
@@ -386,7 +386,7 @@
 TEST_CASE("in a crowd a single error takes no capacity away, a second does") {
     target_book book({"a"}, 1);
     book.replace(targets_named({"t1", "t2"}), false, start);
-    book.loads().on_answer({"svc"}, 500ms, false, 0);
+    book.loads().on_answer({"svc"}, {500ms, false, false, 0});
     book.loads().set_fleet_rate({"svc"}, 16);
     book.on_end({"t1"}, attempt_outcome::target_error, start, start);
     CHECK(sharing(book, wants(false), start) == ids{"t1", "t2"});
