--- a/include/yuccabeam/gateway/belief_text.hpp
+++ b/include/yuccabeam/gateway/belief_text.hpp
@@ -3,11 +3,26 @@
 #include "yuccabeam/placement/target_book.hpp"
 #include "yuccabeam/telemetry/event_log.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace yuccabeam::gateway {
 
+/// What a daemon does with a target, by what it believes of it.
+enum class target_state : std::uint8_t {
+    in_use,
+    suspected,
+    unreachable,
+    leaving,
+    replaced,
+    vanished
+};
+
+target_state state_of(placement::target_belief const& belief);
+std::string_view to_string(target_state value);
+
 /// A share in whole percent.
 std::string percent_text(double share);
 
--- a/include/yuccabeam/gateway/peer_link.hpp
+++ b/include/yuccabeam/gateway/peer_link.hpp
@@ -66,6 +66,8 @@
 private:
     heartbeat own_heartbeat(bool wants_reply) const;
     void send_heartbeats(time_point now, bool far);
+    void send(std::vector<std::uint8_t> const& bytes,
+              std::vector<std::string> const& addresses);
     void send_all(peer_message const& message);
     void send_near(peer_message const& message, time_point now);
     void send_activity(time_point now);
--- a/include/yuccabeam/placement/request_course.hpp
+++ b/include/yuccabeam/placement/request_course.hpp
@@ -128,7 +128,6 @@
     course_step end(std::string_view reason, course_step step);
     course_step deliver(std::size_t attempt, course_step step);
     course_step hedge(time_point now);
-    bool replaces_second(attempt_outcome outcome, next_step decision) const;
     std::optional<target_notice> note_end(course_attempt const& done,
                                           attempt_outcome outcome,
                                           time_point now,
--- a/include/yuccabeam/placement/service_loads.hpp
+++ b/include/yuccabeam/placement/service_loads.hpp
@@ -26,10 +26,9 @@
 
     /// Usual time to an answer that waits for no slot; 0: unknown.
     duration service_time(service_id const& service) const;
-    /// The same for requests of one kind, which may have more or less work
-    /// than the others; empty until enough of them are known.
-    std::optional<duration> usual_time(service_id const& service,
-                                       bool idempotent) const;
+    /// The same for non-idempotent requests, which may have more work than the
+    /// others; empty until enough of them are known.
+    std::optional<duration> usual_time(service_id const& service) const;
     /// Usual size of an answer, in MB; 0: unknown.
     double answer_mb(service_id const& service) const;
     /// Slots that the service's requests take up over the whole fleet.
@@ -47,8 +46,7 @@
     struct load {
         double fleet_rate = 0; ///< requests per second
         smoothed_mean service_seconds;
-        smoothed_mean idempotent_seconds;
-        smoothed_mean other_seconds;
+        smoothed_mean non_idempotent_seconds;
         smoothed_mean answer_bytes;
     };
 
--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -107,8 +107,8 @@
     discovered_target target;
     double risk = 0; ///< probability that the target fails requests
     std::optional<target_evidence> evidence; ///< the last before the choice
-    bool trial = false;     ///< the target is suspected and put to the test
-    bool suspected = false; ///< chosen for lack of any better one
+    bool suspected = false; ///< chosen for a trial or for lack of a better one
+    bool trial = false;     ///< the suspected target is put to the test
     bool queued = false;    ///< all its slots are in use
     std::optional<target_notice> notice;
 };
--- a/src/yuccabeam/gateway/belief_text.cpp
+++ b/src/yuccabeam/gateway/belief_text.cpp
@@ -14,20 +14,24 @@
     return std::to_string(to_milliseconds(value)) + " ms";
 }
 
-std::string_view state_words(target_belief const& belief) {
-    if (belief.vanished)
+std::string_view words_of(target_state state) {
+    switch (state) {
+    case target_state::vanished:
         return "has no entry in the store any more and gets new requests only "
                "for lack of others";
-    if (belief.replaced)
+    case target_state::replaced:
         return "is gone: another target has its address";
-    if (belief.leaving)
+    case target_state::leaving:
         return "is leaving: it gets no new requests";
-    if (belief.unreachable)
+    case target_state::unreachable:
         return "takes no connections from this daemon and is left alone for "
                "some seconds";
-    if (belief.suspected)
+    case target_state::suspected:
         return "is suspected: it gets requests that may not be repeated only "
                "for lack of better targets, and a trial now and then";
+    case target_state::in_use:
+        break;
+    }
     return "is in use";
 }
 
@@ -49,6 +53,36 @@
 
 } // namespace
 
+target_state state_of(target_belief const& belief) {
+    if (belief.vanished)
+        return target_state::vanished;
+    if (belief.replaced)
+        return target_state::replaced;
+    if (belief.leaving)
+        return target_state::leaving;
+    if (belief.unreachable)
+        return target_state::unreachable;
+    return belief.suspected ? target_state::suspected : target_state::in_use;
+}
+
+std::string_view to_string(target_state value) {
+    switch (value) {
+    case target_state::vanished:
+        return "vanished";
+    case target_state::replaced:
+        return "replaced";
+    case target_state::leaving:
+        return "leaving";
+    case target_state::unreachable:
+        return "unreachable";
+    case target_state::suspected:
+        return "suspected";
+    case target_state::in_use:
+        break;
+    }
+    return "in_use";
+}
+
 std::string percent_text(double share) {
     return std::to_string(std::lround(share * 100));
 }
@@ -71,7 +105,7 @@
 std::string sentences_of(target_belief const& belief, time_point now) {
     std::string out = "Target " + belief.target.value + " of service " +
                       belief.service.value + " ";
-    out += state_words(belief);
+    out += words_of(state_of(belief));
     if (belief.suspected)
         out += ", for " + age(belief.suspected_for);
     out += ". Probability that it fails requests: " +
--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -58,12 +58,16 @@
     return out;
 }
 
-void peer_link::send_all(peer_message const& message) {
-    auto const bytes = encode(message);
-    for (auto const& address : table_.addresses())
+void peer_link::send(std::vector<std::uint8_t> const& bytes,
+                     std::vector<std::string> const& addresses) {
+    for (auto const& address : addresses)
         transport_->send(bytes, address);
 }
 
+void peer_link::send_all(peer_message const& message) {
+    send(encode(message), table_.addresses());
+}
+
 void peer_link::send_heartbeats(time_point now, bool far) {
     auto const message = own_heartbeat(false);
     auto const bytes = encode(message);
@@ -117,9 +121,7 @@
         message.targets.push_back(at->second);
     auto const peers = table_.near_addresses(now);
     next_activity_ = now + activity_period_per_peer * peers.size();
-    auto const bytes = encode(message);
-    for (auto const& address : peers)
-        transport_->send(bytes, address);
+    send(encode(message), peers);
 }
 
 void peer_link::send_domain_activity(time_point now) {
@@ -139,9 +141,7 @@
 }
 
 void peer_link::send_near(peer_message const& message, time_point now) {
-    auto const bytes = encode(message);
-    for (auto const& address : table_.near_addresses(now))
-        transport_->send(bytes, address);
+    send(encode(message), table_.near_addresses(now));
 }
 
 void peer_link::pass_on(mirror::store_changes const& changes, time_point now) {
@@ -151,8 +151,7 @@
         announce(now);
         return;
     }
-    for (auto const& address : table_.addresses())
-        transport_->send(bytes, address);
+    send(bytes, table_.addresses());
 }
 
 void peer_link::receive(std::span<std::uint8_t const> bytes, time_point now) {
--- a/src/yuccabeam/gateway/queries.cpp
+++ b/src/yuccabeam/gateway/queries.cpp
@@ -18,22 +18,10 @@
 constexpr int invalid_request = -32600;
 constexpr int method_not_found = -32601;
 
-std::string_view state_name(target_belief const& belief) {
-    if (belief.vanished)
-        return "vanished";
-    if (belief.replaced)
-        return "replaced";
-    if (belief.leaving)
-        return "leaving";
-    if (belief.unreachable)
-        return "unreachable";
-    return belief.suspected ? "suspected" : "in_use";
-}
-
 json data_of(target_belief const& belief, time_point now) {
     json out = {{"target", belief.target.value},
                 {"service", belief.service.value},
-                {"state", state_name(belief)},
+                {"state", to_string(state_of(belief))},
                 {"failing", belief.failing},
                 {"in_flight", belief.in_flight}};
     if (belief.evidence) {
@@ -58,7 +46,7 @@
     for (auto const& belief : state.targets) {
         auto& count = services[belief.service.value];
         ++count.known;
-        count.in_use += state_name(belief) == "in_use";
+        count.in_use += state_of(belief) == target_state::in_use;
     }
     std::string text =
         "Daemon " + state.vm + " (" + state.failure_domain + ") is " +
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -73,7 +73,7 @@
         step.news.push_back({chosen.notice, false});
     course_attempt attempt;
     attempt.to = chosen.target.target;
-    attempt.suspected = chosen.suspected || chosen.trial;
+    attempt.suspected = chosen.suspected;
     attempt.risk = chosen.risk;
     attempt.evidence = chosen.evidence;
     attempt.queued = chosen.queued;
@@ -101,8 +101,7 @@
         return share_of(request_.latency_objective, options_.hedge_share);
     auto const latest =
         share_of(request_.latency_objective, options_.overdue_share);
-    auto const usual =
-        parts_.book.loads().usual_time(request_.service, request_.idempotent);
+    auto const usual = parts_.book.loads().usual_time(request_.service);
     if (!usual)
         return latest;
     return std::min(latest, share_of(*usual, options_.overdue_factor));
@@ -151,10 +150,14 @@
         note_end(attempts_[attempt], outcome, now, answer_bytes);
     tell_activity(attempts_[attempt].to.id, step);
     step.decision = decide(outcome, now);
-    // While another attempt runs, it may still succeed.
+    // While another attempt runs, it may still succeed. A second target that
+    // was not reached is replaced all the same, as the first one takes long.
+    bool const reached = outcome != attempt_outcome::connect_failed;
     bool const others = running() > 0;
-    bool const repeats = step.decision == next_step::try_other && !others &&
-                         outcome != attempt_outcome::connect_failed;
+    bool const goes_on =
+        step.decision == next_step::try_other && !(others && reached);
+    // A repeat that was not reached is counted already.
+    bool const repeats = goes_on && reached;
     if (repeats)
         parts_.budget.on_repeat(now);
     if (notice || repeats)
@@ -166,26 +169,15 @@
     }
     if (outcome == attempt_outcome::target_error)
         fallback_ = attempt;
-    if (others)
-        return replaces_second(outcome, step.decision)
-                   ? try_next(now, std::move(step))
-                   : step;
-    if (step.decision == next_step::try_other)
+    if (goes_on)
         return try_next(now, std::move(step));
+    if (others)
+        return step;
     if (fallback_)
         return deliver(*fallback_, std::move(step));
     return end(to_string(outcome), std::move(step));
 }
 
-// A second target that was not reached leaves the request where it was: with
-// a target that takes long. Its repeat is counted, so the next one is not.
-bool request_course::replaces_second(attempt_outcome outcome,
-                                     next_step decision) const {
-    return request_.idempotent && checked_ &&
-           outcome == attempt_outcome::connect_failed &&
-           decision == next_step::try_other;
-}
-
 std::optional<target_notice>
 request_course::note_end(course_attempt const& done, attempt_outcome outcome,
                          time_point now, std::size_t answer_bytes) {
@@ -236,7 +228,7 @@
         !parts_.book.has_room(request_.service, now) || !parts_.may_repeat(now))
         return {};
     auto const second = parts_.book.choose(wanted(now), now);
-    if (!second || second->suspected || second->trial)
+    if (!second || second->suspected)
         return {};
     parts_.budget.on_repeat(now);
     course_step step;
--- a/src/yuccabeam/placement/service_loads.cpp
+++ b/src/yuccabeam/placement/service_loads.cpp
@@ -38,20 +38,16 @@
         return;
     double const seconds = to_seconds(answer.taken);
     load.service_seconds.add(seconds);
-    (answer.idempotent ? load.idempotent_seconds : load.other_seconds)
-        .add(seconds);
+    if (!answer.idempotent)
+        load.non_idempotent_seconds.add(seconds);
 }
 
-std::optional<duration> service_loads::usual_time(service_id const& service,
-                                                  bool idempotent) const {
+std::optional<duration>
+service_loads::usual_time(service_id const& service) const {
     auto const* load = find(service);
-    if (!load)
+    if (!load || load->non_idempotent_seconds.values < least_answers)
         return std::nullopt;
-    auto const& seconds =
-        idempotent ? load->idempotent_seconds : load->other_seconds;
-    if (seconds.values < least_answers)
-        return std::nullopt;
-    return from_seconds(seconds.value);
+    return from_seconds(load->non_idempotent_seconds.value);
 }
 
 duration service_loads::service_time(service_id const& service) const {
