--- /dev/null
+++ b/src/yuccabeam/http1/client_timer_test.cpp
@@ -0,0 +1,27 @@
+#include "yuccabeam/http1/client.hpp"
+
+#include "scripted_peer.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace yuccabeam::http1;
+
+TEST_CASE("a connect timeout that is due in the same turn as the connection "
+          "does not call a written request unsent") {
+    asio::io_context context;
+    scripted_peer peer(
+        context, {{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true}});
+    client client(context.get_executor());
+    std::optional<client_result> out;
+    client_request request;
+    request.address = peer.address();
+    request.method = "POST";
+    request.body = "x";
+    request.timeout = std::chrono::seconds(30);
+    // Loopback connects at once, so both are ready before the loop runs.
+    request.connect_timeout = std::chrono::milliseconds(0);
+    client.start(request, [&](client_result result) { out = result; });
+    REQUIRE(
+        run_until(context, [&] { return out && !peer.requests().empty(); }));
+    CHECK(to_string(out->status) == to_string(client_status::complete));
+}
