--- a/include/yuccabeam/http1/client.hpp
+++ b/include/yuccabeam/http1/client.hpp
@@ -48,8 +48,9 @@
 /// How one exchange ended.
 struct client_result {
     client_status status = client_status::complete;
-    bool reused = false;    ///< on a connection that had served before
-    bool head_seen = false; ///< some part of a response arrived
+    bool reused = false;        ///< on a connection that had served before
+    bool request_begun = false; ///< some of the request may have been sent
+    bool head_seen = false;     ///< some part of a response arrived
     message_head head;
     std::string body;
     duration connect_time{};
--- a/src/yuccabeam/gateway/counters.cpp
+++ b/src/yuccabeam/gateway/counters.cpp
@@ -57,6 +57,12 @@
             .Name("yuccabeam_target_suspected")
             .Help("1 while this daemon suspects the target")
             .Register(registry);
+    prometheus::Histogram& loop_lateness =
+        prometheus::BuildHistogram()
+            .Name("yuccabeam_loop_late_seconds")
+            .Help("Delay of the event loop's ticker")
+            .Register(registry)
+            .Add({}, latency_bounds);
     std::map<std::string, prometheus::Counter*> plain;
     std::map<std::string, prometheus::Gauge*> gauges;
     std::vector<std::pair<prometheus::Gauge*, prometheus::Gauge*>> targets;
@@ -88,6 +94,10 @@
         .Observe(seconds);
 }
 
+void counters::on_late_turn(double seconds) {
+    self_->loop_lateness.Observe(seconds);
+}
+
 void counters::count(std::string const& name, double amount) {
     auto& counter = self_->plain[name];
     if (!counter)
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -23,6 +23,9 @@
 using adapters::boot_now;
 
 constexpr std::chrono::milliseconds tick_period{50};
+// A turn that comes later than this is logged: timeouts of some hundred
+// milliseconds then measure this VM and not its targets.
+constexpr duration late_turn = std::chrono::milliseconds(100);
 // Time after a peer has told a newer revision in which its changes may still
 // come by datagram.
 constexpr duration pull_delay = std::chrono::milliseconds(60);
@@ -100,6 +103,7 @@
     bool ready() const;
     void note_readiness();
     void schedule_tick();
+    void note_lateness(duration late);
     void on_tick(time_point now);
     void check_stop(time_point now);
 
@@ -456,14 +460,24 @@
 
 void implementation::schedule_tick() {
     ticker.expires_after(tick_period);
-    ticker.async_wait([self = shared_from_this()](std::error_code error) {
+    auto const due = boot_now() + tick_period;
+    ticker.async_wait([self = shared_from_this(), due](std::error_code error) {
         if (error)
             return;
-        self->on_tick(boot_now());
+        auto const now = boot_now();
+        self->note_lateness(now - due);
+        self->on_tick(now);
         self->schedule_tick();
     });
 }
 
+void implementation::note_lateness(duration late) {
+    counters.on_late_turn(to_seconds(late));
+    if (late >= late_turn)
+        log.write("loop_late", {{"ms", std::to_string(to_milliseconds(late))},
+                                {"active", std::to_string(callers->active())}});
+}
+
 void implementation::on_tick(time_point now) {
     if (store->in_trouble())
         outage_seen = now;
--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -218,6 +218,7 @@
     }
 
     void write() {
+        result_.request_begun = true;
         head_text_.append(request_.method).append(" ").append(request_.target);
         head_text_.append(" HTTP/1.1\r\n");
         if (!request_.body.empty() || request_.method == "POST" ||
