Tell a request's connect timeout by what has been sent

Callers saw an order that ran twice (TWICE): the daemon reported that the first target could not be connected to, which counts as not run, and sent the order to a second target while the first one had read it.

Cause: http1::client uses one timer, set again when the connection is made. An Asio timer whose wait is queued for completion can't be cancelled. When the event loop is held up until both the connection and its connect timeout are ready in one turn, the connection is handled first, the request is written, and the old wait then ends the call as connect_failed. The class of fault: a completion that was queued before the state moved on acts on the new state.

Change: net::one_shot_timer numbers its waits, so that a start, a cancel or its end also ends a wait that is queued; and the status of a call at its limit follows from whether its request was begun, so that no timer can make a written request look unsent.

--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/adapters/address.hpp"
 #include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <array>
 #include <asio.hpp>
@@ -72,8 +73,7 @@
 
 struct idle_connection : std::enable_shared_from_this<idle_connection> {
     tcp::socket socket;
-    asio::steady_timer timer;
-    std::array<char, 1> byte{};
+    net::one_shot_timer timer;
     bool taken = false;
 
     explicit idle_connection(tcp::socket socket)
@@ -114,15 +114,15 @@
             return;
         auto connection = std::make_shared<idle_connection>(std::move(socket));
         connections.push_back(connection);
-        connection->timer.expires_after(limit);
-        auto drop = [self = shared_from_this(), address, connection](auto...) {
+        auto drop = [self = shared_from_this(), address, connection] {
             if (!connection->taken)
                 self->remove(address, connection);
         };
-        connection->timer.async_wait(drop);
+        connection->timer.start(limit, drop);
         // Anything that an idle connection delivers, its end included, makes
         // it unusable: stray bytes would be taken for the next response.
-        connection->socket.async_wait(tcp::socket::wait_read, drop);
+        connection->socket.async_wait(tcp::socket::wait_read,
+                                      [drop](std::error_code) { drop(); });
     }
 
     void remove(std::string const& address, idle_ptr const& connection) {
@@ -165,7 +165,7 @@
             if (auto socket = pool_->take(request_.address)) {
                 socket_ = std::move(*socket);
                 result_.reused = true;
-                arm(request_.timeout, client_status::timed_out);
+                set_limit(request_.timeout);
                 write();
                 return;
             }
@@ -191,8 +191,7 @@
         setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                    &tcp_user_timeout_ms, sizeof tcp_user_timeout_ms);
         ++pool_->opened;
-        arm(std::min(request_.connect_timeout, request_.timeout),
-            client_status::connect_failed);
+        set_limit(std::min(request_.connect_timeout, request_.timeout));
         socket_.async_connect(
             endpoint, [self = shared_from_this()](std::error_code error) {
                 self->on_connected(error);
@@ -213,7 +212,7 @@
             return;
         }
         result_.connect_time = boot_now() - started_;
-        arm(request_.timeout, client_status::timed_out);
+        set_limit(request_.timeout);
         write();
     }
 
@@ -335,13 +334,15 @@
         finish(client_status::complete);
     }
 
-    void arm(std::chrono::milliseconds after, client_status status) {
-        timer_.expires_after(after);
-        timer_.async_wait(
-            [self = shared_from_this(), status](std::error_code error) {
-                if (!error && !self->ended_)
-                    self->finish(status);
-            });
+    void set_limit(std::chrono::milliseconds after) {
+        timer_.start(after, [self = shared_from_this()] { self->on_limit(); });
+    }
+
+    // What has been sent decides, not which limit was meant: only a request
+    // of which nothing is written may be called unsent.
+    void on_limit() {
+        finish(result_.request_begun ? client_status::timed_out
+                                     : client_status::connect_failed);
     }
 
     void finish(client_status status) {
@@ -377,7 +378,7 @@
     client_request request_;
     client::handler handler_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    net::one_shot_timer timer_;
     parser parser_;
     client_result result_;
     std::string head_text_;
