Keep a caller's request that comes as its idle limit ends

Callers whose first bytes of a request arrived in the turn in which the idle limit of their connection was due got 408 and had to come back.

The head limit replaced the idle limit, but the queued wait of the idle limit acted as if the head had taken too long.

Change: http1::server's timers are net::one_shot_timer.

The test writes half a head to a connection whose idle limit is due, and failed before (one head timeout, no request handled). It needs no sleep.

--- a/src/yuccabeam/http1/server.cpp
+++ b/src/yuccabeam/http1/server.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/adapters/address.hpp"
 #include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <algorithm>
 #include <array>
@@ -36,7 +37,7 @@
     server::limits_source limits;
     server::handler handler;
     tcp::acceptor acceptor;
-    asio::steady_timer accept_timer;
+    net::one_shot_timer accept_timer;
     std::unordered_set<connection_ptr> open;
     std::size_t active = 0;
     bool closing = false;
@@ -98,11 +99,8 @@
     enum class state { reading, answering, lingering, closed };
 
     void arm(std::chrono::milliseconds after) {
-        timer_.expires_after(after);
-        timer_.async_wait([self = shared_from_this()](std::error_code error) {
-            if (!error)
-                self->on_timeout();
-        });
+        timer_.start(after,
+                     [self = shared_from_this()] { self->on_timeout(); });
     }
 
     void on_timeout() {
@@ -313,7 +311,7 @@
 
     std::shared_ptr<server::implementation> server_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    net::one_shot_timer timer_;
     parser parser_;
     state state_ = state::reading;
     bool reading_ = false;
@@ -383,9 +381,8 @@
 }
 
 void server::implementation::accept_later() {
-    accept_timer.expires_after(accept_pause);
-    accept_timer.async_wait([self = shared_from_this()](std::error_code error) {
-        if (!error && self->acceptor.is_open())
+    accept_timer.start(accept_pause, [self = shared_from_this()] {
+        if (self->acceptor.is_open())
             self->accept();
     });
 }
--- a/src/yuccabeam/http1/server_test.cpp
+++ b/src/yuccabeam/http1/server_test.cpp
@@ -143,3 +143,18 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
     CHECK(f.seen.size() == 1);
 }
+
+TEST_CASE("a request whose first bytes come as the idle limit ends is served") {
+    fixture f;
+    f.limits.idle_timeout = std::chrono::milliseconds(0);
+    auto socket = f.connect();
+    while (f.under_test.connections() == 0)
+        f.context.run_one();
+    // The limit is due and the bytes are there before the loop goes on.
+    asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.1\r\n")));
+    f.context.poll();
+    CHECK(f.under_test.counters().head_timeouts == 0);
+    asio::write(socket, asio::buffer(std::string("Host: h\r\n\r\n")));
+    f.context.poll();
+    CHECK(f.seen.size() == 1);
+}
