Drop delayed datagrams safely when the peer transport closes

Closing clears the list of delay timers, but a wait that was queued for completion still ran and erased its entry from the cleared list. Only links with a delay, as tests set them, have such timers.

Change: the list holds net::one_shot_timer, whose end also ends a queued wait.

--- a/src/yuccabeam/net/peer_transport.cpp
+++ b/src/yuccabeam/net/peer_transport.cpp
@@ -1,10 +1,11 @@
 #include "yuccabeam/net/peer_transport.hpp"
 
+#include "yuccabeam/net/one_shot_timer.hpp"
+
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 #include <charconv>
 #include <deque>
@@ -155,17 +156,13 @@
     void send_after(duration delay, item next) {
         asio::post(strand_, [self = shared_from_this(), delay,
                              next = std::move(next)]() mutable {
-            auto const timer = self->timers_.emplace(
-                self->timers_.end(), self->strand_,
-                std::chrono::duration_cast<asio::steady_timer::duration>(
-                    delay));
-            timer->async_wait([self, timer, next = std::move(next)](
-                                  std::error_code error) mutable {
-                if (error)
-                    return;
-                self->timers_.erase(timer);
-                self->enqueue(std::move(next));
-            });
+            auto const timer =
+                self->timers_.emplace(self->timers_.end(), self->strand_);
+            timer->start(delay,
+                         [self, timer, next = std::move(next)]() mutable {
+                             self->timers_.erase(timer);
+                             self->enqueue(std::move(next));
+                         });
         });
     }
 
@@ -240,8 +237,8 @@
     std::vector<std::uint8_t> buffer_;
     udp::endpoint from_;
     std::string local_address_;
-    std::deque<item> queue_;               ///< only on the strand
-    std::list<asio::steady_timer> timers_; ///< only on the strand
+    std::deque<item> queue_;           ///< only on the strand
+    std::list<one_shot_timer> timers_; ///< only on the strand
 
     mutable std::mutex mutex_; ///< for the members below
     std::map<std::string, link_fault> faults_;
--- a/src/yuccabeam/net/peer_transport_test.cpp
+++ b/src/yuccabeam/net/peer_transport_test.cpp
@@ -103,5 +103,20 @@
     }
 }
 
+// Guards against a delayed datagram that acts on the list of its timers after
+// the transport has cleared it.
+TEST_CASE("closing drops a delayed datagram that is due in the same turn") {
+    pair p;
+    auto const to = p.second->local_address();
+    p.context.poll();
+    p.first->set_faults({{to, {.delay_sent = duration(1)}}});
+    p.first->send({1}, to);
+    p.context.run_one();
+    p.first->close();
+    p.context.poll();
+    CHECK(p.first->counters().sent == 0);
+    CHECK(p.got.empty());
+}
+
 } // namespace
 } // namespace yuccabeam::net
