Use the one-shot timer for exchanges and the daemon's ticker

Cause: an exchange sets its check timer again with each attempt. A queued check of the attempt before would have put the new target in doubt, or sent the request to one more target, right after it was sent.

Change: the deadline, the check and the ticker use net::one_shot_timer. Looked at and left: the stand-ins and the load client, which start each timer once or fence their handlers by a number already; timer_service, which never restarts a wait.

The race itself has its test with the timer.

--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -10,6 +10,7 @@
 #include "yuccabeam/gateway/repeat_ledger.hpp"
 #include "yuccabeam/gateway/request_router.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
+#include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <asio.hpp>
 #include <map>
@@ -124,7 +125,7 @@
     std::unique_ptr<http1::server> callers;
     std::unique_ptr<http1::server> readiness;
     std::unique_ptr<http1::server> control;
-    asio::steady_timer ticker;
+    net::one_shot_timer ticker;
 
     policy_keeper policies;
     request_router router;
@@ -148,7 +149,7 @@
       peers({settings.peers, settings.control, settings.failure_domain,
              settings.failure_domains.size(), new_incarnation()},
             peer_callbacks()),
-      parts(make_parts()), ticker(context),
+      parts(make_parts()), ticker(context.get_executor()),
       policies(formats.content, log, counters), router(parts, policies) {}
 
 result<void> implementation::start() {
@@ -459,11 +460,8 @@
 }
 
 void implementation::schedule_tick() {
-    ticker.expires_after(tick_period);
     auto const due = boot_now() + tick_period;
-    ticker.async_wait([self = shared_from_this(), due](std::error_code error) {
-        if (error)
-            return;
+    ticker.start(tick_period, [self = shared_from_this(), due] {
         auto const now = boot_now();
         self->note_lateness(now - due);
         self->on_tick(now);
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -3,9 +3,9 @@
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/gateway/answers.hpp"
 #include "yuccabeam/gateway/belief_text.hpp"
+#include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <algorithm>
-#include <asio/steady_timer.hpp>
 #include <charconv>
 #include <map>
 #include <optional>
@@ -86,11 +86,10 @@
           deadline_timer_(parts.executor), check_timer_(parts.executor) {}
 
     void start() {
-        deadline_timer_.expires_after(
-            std::max<duration>(deadline_ - boot_now(), {}));
-        deadline_timer_.async_wait(
-            [self = shared_from_this()](std::error_code error) {
-                if (!error && !self->course_.ended())
+        deadline_timer_.start(
+            std::max<duration>(deadline_ - boot_now(), {}),
+            [self = shared_from_this()] {
+                if (!self->course_.ended())
                     self->follow(self->course_.on_deadline(boot_now()));
             });
         request_.responder->on_gone(
@@ -192,12 +191,8 @@
         auto const due = course_.next_check();
         if (!due)
             return;
-        check_timer_.expires_after(std::max<duration>(*due - boot_now(), {}));
-        check_timer_.async_wait(
-            [self = shared_from_this()](std::error_code error) {
-                if (!error)
-                    self->on_check();
-            });
+        check_timer_.start(std::max<duration>(*due - boot_now(), {}),
+                           [self = shared_from_this()] { self->on_check(); });
     }
 
     void on_check() {
@@ -362,8 +357,8 @@
     service_id service_;
     time_point deadline_;
     placement::request_course course_;
-    asio::steady_timer deadline_timer_;
-    asio::steady_timer check_timer_;
+    net::one_shot_timer deadline_timer_;
+    net::one_shot_timer check_timer_;
     std::vector<http1::client::call_ptr> calls_; ///< by attempt
     std::map<std::size_t, client_result> results_;
 };
