Don't reuse a kept connection that has ended or holds bytes

Callers of idempotent requests lost an attempt, and the fleet a repeat, when a kept connection was taken whose end had arrived but was not yet handled by a late event loop.

Cause: the pool learns of an end by a wait whose completion may still be queued when the connection is taken.

Change: take() looks at the socket without waiting and closes connections that have ended or hold bytes. It costs one system call for each reuse.

The test closes the connection behind the first response; before, the second request was written to it and ended as a reset.

--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -6,8 +6,10 @@
 
 #include <array>
 #include <asio.hpp>
+#include <cerrno>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -82,6 +84,15 @@
 
 using idle_ptr = std::shared_ptr<idle_connection>;
 
+// Neither closed by the peer nor holding bytes that belong to no request.
+// Both may have happened with the event still queued.
+bool is_quiet(tcp::socket& socket) {
+    char byte = 0;
+    auto const size = recv(socket.native_handle(), &byte, sizeof byte,
+                           MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace
 
 struct client::pool : std::enable_shared_from_this<client::pool> {
@@ -95,15 +106,23 @@
 
     std::optional<tcp::socket> take(std::string const& address) {
         auto const found = idle.find(address);
-        if (found == idle.end() || found->second.empty())
+        if (found == idle.end())
             return std::nullopt;
-        auto connection = found->second.back();
-        found->second.pop_back();
-        connection->taken = true;
-        connection->timer.cancel();
-        std::error_code ignored;
-        connection->socket.cancel(ignored);
-        return std::move(connection->socket);
+        auto& connections = found->second;
+        while (!connections.empty()) {
+            auto connection = connections.back();
+            connections.pop_back();
+            if (!is_quiet(connection->socket)) {
+                close(connection);
+                continue;
+            }
+            connection->taken = true;
+            connection->timer.cancel();
+            std::error_code ignored;
+            connection->socket.cancel(ignored);
+            return std::move(connection->socket);
+        }
+        return std::nullopt;
     }
 
     void put(std::string const& address, tcp::socket socket,
--- a/src/yuccabeam/http1/client_test.cpp
+++ b/src/yuccabeam/http1/client_test.cpp
@@ -130,3 +130,14 @@
     REQUIRE(run_until(context, [&] { return out.has_value(); }));
     CHECK(out->status == client_status::connect_failed);
 }
+
+TEST_CASE("a kept connection that the peer has closed isn't used, also when "
+          "its end has not been handled yet") {
+    asio::io_context context;
+    scripted_peer peer(context, {{good, true}, {good}});
+    client client(context.get_executor());
+    CHECK(ask(context, client, peer).body == "ok");
+    auto const second = ask(context, client, peer);
+    CHECK(second.body == "ok");
+    CHECK_FALSE(second.reused);
+}
