Serve a request that was read in the turn of close_idle

Change: close_idle posts the closing behind the completions that are queued already. The test failed before (no request handled).

--- a/src/yuccabeam/http1/server.cpp
+++ b/src/yuccabeam/http1/server.cpp
@@ -437,9 +437,11 @@
 }
 
 void server::close_idle() {
-    auto const connections = self_->open;
-    for (auto const& connection : connections)
-        connection->close_if_idle();
+    // Posted behind the reads that have ended already: a connection whose
+    // request was read in this turn isn't idle.
+    for (auto const& connection : self_->open)
+        asio::post(self_->executor,
+                   [connection] { connection->close_if_idle(); });
 }
 
 std::size_t server::active() const {
--- a/src/yuccabeam/http1/server_test.cpp
+++ b/src/yuccabeam/http1/server_test.cpp
@@ -158,3 +158,15 @@
     f.context.poll();
     CHECK(f.seen.size() == 1);
 }
+
+TEST_CASE("a request that was read in the turn of close_idle is served") {
+    fixture f;
+    auto socket = f.connect();
+    asio::write(socket, asio::buffer(
+                            std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+    while (f.under_test.connections() == 0)
+        f.context.run_one();
+    f.under_test.close_idle();
+    f.context.poll();
+    CHECK(f.seen.size() == 1);
+}
