Test the outcome of a limit after a request was sent

A review replaced the new branch of http1::client::on_limit by connect_failed, and all tests still passed: only the timer was tested.

The ticker's lateness now counts the time of the turn itself. Comments and one name follow the review.

--- a/include/yuccabeam/gateway/counters.hpp
+++ b/include/yuccabeam/gateway/counters.hpp
@@ -20,7 +20,7 @@
     /// One attempt at a target.
     void on_attempt(std::string_view service, std::string_view outcome,
                     double seconds);
-    /// One turn of the event loop's ticker that came late by this much.
+    /// How late one turn of the event loop's ticker was.
     void on_late_turn(double seconds);
     /// Adds to a counter without labels.
     void count(std::string const& name, double amount = 1);
--- a/include/yuccabeam/net/one_shot_timer.hpp
+++ b/include/yuccabeam/net/one_shot_timer.hpp
@@ -11,8 +11,8 @@
 
 namespace yuccabeam::net {
 
-/// Runs a handler once, after a delay, on one event loop; used from that
-/// loop's thread only.
+/// Runs a handler once, after a delay; used from one thread or strand only,
+/// the one that runs the handler.
 ///
 /// A start, a cancel and the destructor also end an earlier wait whose time
 /// has passed and whose handler is queued. An `asio::steady_timer` can't
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -126,6 +126,7 @@
     std::unique_ptr<http1::server> readiness;
     std::unique_ptr<http1::server> control;
     net::one_shot_timer ticker;
+    time_point last_tick{};
 
     policy_keeper policies;
     request_router router;
@@ -167,8 +168,9 @@
     log.write("started", {{"callers", settings.callers},
                           {"store", settings.store},
                           {"failure_domain", settings.failure_domain.value}});
+    last_tick = boot_now();
     schedule_tick();
-    on_tick(boot_now());
+    on_tick(last_tick);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -460,10 +462,10 @@
 }
 
 void implementation::schedule_tick() {
-    auto const due = boot_now() + tick_period;
-    ticker.start(tick_period, [self = shared_from_this(), due] {
+    ticker.start(tick_period, [self = shared_from_this()] {
         auto const now = boot_now();
-        self->note_lateness(now - due);
+        self->note_lateness(now - self->last_tick - tick_period);
+        self->last_tick = now;
         self->on_tick(now);
         self->schedule_tick();
     });
--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -86,7 +86,7 @@
 
 // Neither closed by the peer nor holding bytes that belong to no request.
 // Both may have happened with the event still queued.
-bool is_quiet(tcp::socket& socket) {
+bool is_reusable(tcp::socket& socket) {
     char byte = 0;
     auto const size = recv(socket.native_handle(), &byte, sizeof byte,
                            MSG_PEEK | MSG_DONTWAIT);
@@ -112,7 +112,7 @@
         while (!connections.empty()) {
             auto connection = connections.back();
             connections.pop_back();
-            if (!is_quiet(connection->socket)) {
+            if (!is_reusable(connection->socket)) {
                 close(connection);
                 continue;
             }
@@ -357,8 +357,7 @@
         timer_.start(after, [self = shared_from_this()] { self->on_limit(); });
     }
 
-    // What has been sent decides, not which limit was meant: only a request
-    // of which nothing is written may be called unsent.
+    // `connect_failed` promises that nothing was sent.
     void on_limit() {
         finish(result_.request_begun ? client_status::timed_out
                                      : client_status::connect_failed);
--- a/src/yuccabeam/http1/client_timer_test.cpp
+++ b/src/yuccabeam/http1/client_timer_test.cpp
@@ -18,10 +18,28 @@
     request.method = "POST";
     request.body = "x";
     request.timeout = std::chrono::seconds(30);
-    // Loopback connects at once, so both are ready before the loop runs.
     request.connect_timeout = std::chrono::milliseconds(0);
     client.start(request, [&](client_result result) { out = result; });
+    peer.await_connection();
     REQUIRE(
         run_until(context, [&] { return out && !peer.requests().empty(); }));
     CHECK(to_string(out->status) == to_string(client_status::complete));
 }
+
+TEST_CASE("a limit that ends after the request was written does not call it "
+          "unsent") {
+    asio::io_context context;
+    scripted_peer peer(context, {});
+    client client(context.get_executor());
+    std::optional<client_result> out;
+    client_request request;
+    request.address = peer.address();
+    request.method = "POST";
+    request.body = "x";
+    request.timeout = std::chrono::milliseconds(0);
+    client.start(request, [&](client_result result) { out = result; });
+    peer.await_connection();
+    REQUIRE(run_until(context, [&] { return out.has_value(); }));
+    CHECK(out->request_begun);
+    CHECK(to_string(out->status) == to_string(client_status::timed_out));
+}
--- a/src/yuccabeam/http1/scripted_peer.hpp
+++ b/src/yuccabeam/http1/scripted_peer.hpp
@@ -27,6 +27,9 @@
     std::string address() const {
         return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     }
+    /// Blocks until a connection waits to be accepted, so that its events are
+    /// ready before the loop runs.
+    void await_connection() { acceptor_.wait(tcp::acceptor::wait_read); }
     std::size_t connections() const { return connections_; }
     std::vector<std::string> const& requests() const { return requests_; }
 
--- a/src/yuccabeam/net/one_shot_timer_test.cpp
+++ b/src/yuccabeam/net/one_shot_timer_test.cpp
@@ -37,8 +37,7 @@
                                              context.get_executor());
         bool changed = false;
         bool acted = false;
-        // Both are due before the loop runs, so both completions are queued
-        // when the first one changes the second timer.
+        // Both completions are queued before the first one runs.
         first.start(due, [&] {
             c.change(second);
             changed = true;
--- a/src/yuccabeam/net/peer_transport_test.cpp
+++ b/src/yuccabeam/net/peer_transport_test.cpp
@@ -103,8 +103,7 @@
     }
 }
 
-// Guards against a delayed datagram that acts on the list of its timers after
-// the transport has cleared it.
+// Guards against a wait that acts on the cleared list of its timers.
 TEST_CASE("closing drops a delayed datagram that is due in the same turn") {
     pair p;
     auto const to = p.second->local_address();
