Let the stand-in target send bytes without end

Targets in trouble may send bytes that are no answer until the caller closes, and no part of the tests could play that. The control word `endless` runs a request and then sends one of twelve kinds of bytes, named by the field `endless`: no HTTP from the first byte, one field or many fields of a head, chunks, a body without a length, answers to other requests, interim answers, a chunk's size, extension or framing, trailers, and bytes behind a whole answer. `GET /stats` counts them as `endless_bytes`. The bytes are made in a header of their own, so that the tests of the HTTP clients use the same ones.

--- a/include/yuccabeam/standins/target_behaviour.hpp
+++ b/include/yuccabeam/standins/target_behaviour.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/standins/endless_answer.hpp"
 #include "yuccabeam/values/json_reader.hpp"
 
 #include <chrono>
@@ -37,6 +38,8 @@
     close_midway, ///< runs, resets the connection after half the body
     short_answer, ///< runs, closes in order before the end of the body
     one_way,      ///< runs and never answers
+    endless,      ///< runs, sends `target_control::endless` until the peer
+                  ///< closes
     refuse        ///< does not listen
 };
 
@@ -46,6 +49,7 @@
     failure fail = failure::none;
     double share = 1;
     double slow_factor = 10;
+    endless_kind endless = endless_kind::no_http;
     /// Only requests with this `Yuccabeam-Failure-Domain` fail; empty: all.
     std::string only_from_failure_domain;
     bool drain = false;
@@ -112,6 +116,7 @@
     std::uint64_t connections_rejected = 0;
     std::uint64_t probes = 0;
     std::uint64_t body_bytes = 0;
+    std::uint64_t endless_bytes = 0; ///< sent by `failure::endless`
 };
 
 void to_json(nlohmann::json& out, target_control const& value);
--- a/src/yuccabeam/standins/target_behaviour.cpp
+++ b/src/yuccabeam/standins/target_behaviour.cpp
@@ -18,6 +18,7 @@
         {"close_midway", failure::close_midway},
         {"short", failure::short_answer},
         {"one_way", failure::one_way},
+        {"endless", failure::endless},
         {"refuse", failure::refuse},
     };
     return words;
@@ -32,6 +33,9 @@
     out.share = reader.number_or("share", current.share, 0, 1);
     out.slow_factor =
         reader.number_or("slow_factor", current.slow_factor, 1, 10'000);
+    out.endless =
+        reader.word_or("endless", current.endless,
+                       std::vector(endless_words.begin(), endless_words.end()));
     out.only_from_failure_domain = reader.string_or(
         "only_from_failure_domain", current.only_from_failure_domain);
     out.drain = reader.boolean_or("drain", current.drain);
@@ -109,6 +113,7 @@
     out = {{"fail", to_string(value.fail)},
            {"share", value.share},
            {"slow_factor", value.slow_factor},
+           {"endless", to_string(value.endless)},
            {"only_from_failure_domain", value.only_from_failure_domain},
            {"drain", value.drain},
            {"healthy", value.healthy},
@@ -126,7 +131,8 @@
            {"connections", value.connections},
            {"connections_rejected", value.connections_rejected},
            {"probes", value.probes},
-           {"body_bytes", value.body_bytes}};
+           {"body_bytes", value.body_bytes},
+           {"endless_bytes", value.endless_bytes}};
 }
 
 } // namespace yuccabeam::standins
--- a/src/yuccabeam/standins/target_server_test.cpp
+++ b/src/yuccabeam/standins/target_server_test.cpp
@@ -149,6 +149,34 @@
           R"({"executions":1})");
 }
 
+// Guards against endless bytes that stop by themselves, that outlive the
+// client's close, or that differ from the kind's.
+TEST_CASE("an endless answer lasts until the client closes") {
+    fixture f;
+    auto const port = f.first->port();
+    for (auto const& entry : endless_words) {
+        auto const word = entry.first;
+        auto const kind = entry.second;
+        CAPTURE(word);
+        nlohmann::json const control{{"fail", "endless"}, {"endless", word}};
+        REQUIRE(ask(port, "POST /control HTTP/1.1", control.dump()).status ==
+                200);
+        auto const expected = make_endless_answer(kind, "Yuccabeam-Echo: e\r\n",
+                                                  "Yuccabeam-Echo: other\r\n");
+        auto const text =
+            expected.start + expected.repeated + expected.repeated;
+        {
+            client c(port);
+            c.send("GET / HTTP/1.1\r\nYuccabeam-Echo: e");
+            std::string received(text.size(), '\0');
+            asio::read(c.socket, asio::buffer(received));
+            CHECK(received == text);
+        }
+        CHECK(reaches(port, "open_connections", 1));
+    }
+    CHECK(stats(port).at("executions") == endless_words.size());
+}
+
 // Guards against shedding without the not-run mark and against work that goes
 // on, or keeps its slot, after the client has left.
 TEST_CASE("a full target sheds and a closed connection frees its slot") {
--- a/src/yuccabeam/standins/target_session.cpp
+++ b/src/yuccabeam/standins/target_session.cpp
@@ -282,6 +282,10 @@
             phase_ = phase::mute;
             return;
         }
+        if (failure_ == failure::endless) {
+            send_without_end();
+            return;
+        }
         auto out = failure_ == failure::errors
                        ? text_only(500, "injected error\n")
                        : regular_answer();
@@ -296,6 +300,31 @@
         send(std::move(out));
     }
 
+    void send_without_end() {
+        phase_ = phase::writing;
+        std::string const echo(reader_.message().header("Yuccabeam-Echo"));
+        auto bytes = make_endless_answer(target_.control.endless,
+                                         "Yuccabeam-Echo: " + echo + "\r\n",
+                                         "Yuccabeam-Echo: other\r\n");
+        output_ = std::move(bytes.start);
+        endless_block_ = std::move(bytes.repeated);
+        write_endless_block();
+    }
+
+    void write_endless_block() {
+        output_ += endless_block_;
+        asio::async_write(
+            socket_, asio::buffer(output_),
+            [self = shared_from_this()](std::error_code error, std::size_t n) {
+                self->target_.stats.endless_bytes += n;
+                self->output_.clear();
+                if (error)
+                    self->close();
+                else
+                    self->write_endless_block();
+            });
+    }
+
     answer regular_answer() const {
         auto const& request = reader_.message();
         auto const what = content_of_path(
@@ -417,6 +446,7 @@
     std::uint64_t served_ = 0;
     answer answer_;
     std::string output_;
+    std::string endless_block_;
 };
 
 void start_session(asio::ip::tcp::socket socket,
