End a call to a target whose bytes are no answer at a limit

A caller whose target sent answers to other requests, interim answers or chunks with long extensions without end got nothing until its deadline, and the daemon read and parsed all the while: only the wanted response's body had a limit. An announced length above that limit was waited for too, and up to 32 MiB were reserved for it.

`client_options` now bounds the head of a response (64 KiB) and all that a call reads beside its response's body (1 MiB): heads, interim and other requests' responses, chunk sizes and extensions, trailers. A call that reaches one of them ends at once with `too_large`, its connection is closed, and its request counts as one that may have run. A length above the body's limit ends the call at the head. `client_result::bytes_read` says how much was read.

--- a/include/yuccabeam/http1/client.hpp
+++ b/include/yuccabeam/http1/client.hpp
@@ -39,7 +39,7 @@
     malformed,      ///< the peer sent bytes that are no response
     truncated,      ///< the response's body ended early
     timed_out,
-    too_large,
+    too_large, ///< a limit of `client_options` on the peer's bytes is reached
     cancelled
 };
 
@@ -53,12 +53,19 @@
     bool head_seen = false;     ///< some part of a response arrived
     message_head head;
     std::string body;
+    std::uint64_t bytes_read = 0; ///< of all kinds
     duration connect_time{};
     duration total_time{};
 };
 
 struct client_options {
+    /// Body of a response.
     std::size_t max_response_bytes = 32u << 20;
+    /// Status line and fields of a response.
+    std::size_t max_head_bytes = 64u << 10;
+    /// All that a call reads beside its response's body: heads, interim and
+    /// other requests' responses, chunk sizes and extensions, trailers.
+    std::size_t max_overhead_bytes = 1u << 20;
     /// Idle connections kept for each address.
     std::size_t idle_per_address = 2;
     /// Idle time after which a connection is closed unless the peer names a
--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -279,13 +279,16 @@
 
     void consume(std::string_view bytes) {
         result_.head_seen = true;
+        result_.bytes_read += bytes.size();
         while (!bytes.empty() && !ended_) {
-            bytes.remove_prefix(parser_.feed(bytes));
+            auto const used = parser_.feed(bytes);
+            bytes.remove_prefix(used);
+            parsed_bytes_ += used;
             if (parser_.failed()) {
                 finish(client_status::malformed);
                 return;
             }
-            if (body_too_large_) {
+            if (body_too_large_ || beyond_limits()) {
                 finish(client_status::too_large);
                 return;
             }
@@ -296,6 +299,13 @@
         }
     }
 
+    bool beyond_limits() const {
+        auto const& limits = pool_->options;
+        auto const overhead = parsed_bytes_ - result_.body.size();
+        return parser_.head_bytes() > limits.max_head_bytes ||
+               overhead > limits.max_overhead_bytes;
+    }
+
     void on_input_end(std::error_code error) {
         if (error == asio::error::eof && parser_.head_complete() &&
             result_.head.framing == body_framing::until_close && wanted_) {
@@ -312,9 +322,14 @@
 
     bool on_head(message_head& head) {
         wanted_ = head.status >= 200 && matches(head);
-        if (wanted_)
+        bool const without_body = request_.method == "HEAD";
+        if (wanted_) {
             result_.head = head;
-        return request_.method == "HEAD";
+            body_too_large_ =
+                !without_body &&
+                head.content_length > pool_->options.max_response_bytes;
+        }
+        return without_body;
     }
 
     bool matches(message_head const& head) const {
@@ -325,7 +340,7 @@
     }
 
     void on_body(std::string_view part) {
-        if (!wanted_)
+        if (!wanted_ || body_too_large_)
             return;
         if (result_.body.size() + part.size() >
             pool_->options.max_response_bytes) {
@@ -334,9 +349,7 @@
         }
         if (result_.body.empty() &&
             result_.head.framing == body_framing::length)
-            result_.body.reserve(
-                std::min<std::uint64_t>(result_.head.content_length,
-                                        pool_->options.max_response_bytes));
+            result_.body.reserve(result_.head.content_length);
         result_.body += part;
     }
 
@@ -401,6 +414,7 @@
     client_result result_;
     std::string head_text_;
     std::array<char, read_size> buffer_{};
+    std::uint64_t parsed_bytes_ = 0; ///< of all messages
     time_point started_{};
     bool wanted_ = false;
     bool written_ = false;
--- a/src/yuccabeam/http1/scripted_peer.hpp
+++ b/src/yuccabeam/http1/scripted_peer.hpp
@@ -12,10 +12,15 @@
 /// scripted bytes. For tests; runs on the test's event loop.
 class scripted_peer {
 public:
+    /// Bytes after which an endless reply is closed, so that a client that
+    /// reads without limit ends too.
+    static constexpr std::size_t most_repeated_bytes = 64u << 20;
+
     struct reply {
         std::string bytes;
-        bool close = false; ///< in order, after the bytes
-        bool reset = false; ///< after the bytes
+        bool close = false;     ///< in order, after the bytes
+        bool reset = false;     ///< after the bytes
+        std::string repeated{}; ///< after the bytes, until the client closes
     };
 
     scripted_peer(asio::io_context& context, std::vector<reply> replies)
@@ -32,6 +37,10 @@
     void await_connection() { acceptor_.wait(tcp::acceptor::wait_read); }
     std::size_t connections() const { return connections_; }
     std::vector<std::string> const& requests() const { return requests_; }
+    /// Bytes of endless replies that were sent or wait in socket buffers.
+    std::size_t repeated_bytes() const { return repeated_bytes_; }
+    /// Connections on which an endless reply goes on.
+    std::size_t endless_connections() const { return endless_connections_; }
 
 private:
     using tcp = asio::ip::tcp;
@@ -81,11 +90,36 @@
             auto const& reply = peer.replies_[at];
             std::error_code ignored;
             asio::write(socket, asio::buffer(reply.bytes), ignored);
+            if (!reply.repeated.empty()) {
+                ++peer.endless_connections_;
+                repeat(reply.repeated);
+                return;
+            }
             if (reply.reset)
                 socket.set_option(asio::socket_base::linger(true, 0), ignored);
             if (reply.close || reply.reset)
                 socket.close(ignored);
         }
+
+        void repeat(std::string const& bytes) {
+            asio::async_write(socket, asio::buffer(bytes),
+                              [self = shared_from_this(), &bytes](
+                                  std::error_code error, std::size_t size) {
+                                  self->repeated(bytes, error, size);
+                              });
+        }
+
+        void repeated(std::string const& bytes, std::error_code error,
+                      std::size_t size) {
+            peer.repeated_bytes_ += size;
+            if (!error && peer.repeated_bytes_ < most_repeated_bytes) {
+                repeat(bytes);
+                return;
+            }
+            --peer.endless_connections_;
+            std::error_code ignored;
+            socket.close(ignored);
+        }
     };
 
     void accept() {
@@ -103,6 +137,8 @@
     std::vector<reply> replies_;
     std::size_t connections_ = 0;
     std::vector<std::string> requests_;
+    std::size_t repeated_bytes_ = 0;
+    std::size_t endless_connections_ = 0;
 };
 
 /// Runs the loop until `done`; false when it runs out of work before.
