Keep no fields for the trailers of a message

Each trailer of a chunked message added an empty field to its head, so that 80 KiB of trailers took about 1 MiB. The parser dropped their bytes and not their entries. It now leaves the head alone once it is complete.

The case `trailers` of the endless answers failed before: 1,070,032 bytes of heap with a bound of 256 KiB.

--- a/src/yuccabeam/http1/endless_answer_test.cpp
+++ b/src/yuccabeam/http1/endless_answer_test.cpp
@@ -93,7 +93,7 @@
     {endless_kind::chunk_framing, client_status::too_large,
      body_limit + overhead_limit, body_heap},
     {endless_kind::trailers, client_status::malformed, overhead_limit,
-     head_heap},
+     other_heap},
     {endless_kind::behind_answer, client_status::complete, read_slack,
      other_heap},
 };
--- a/src/yuccabeam/http1/parser.cpp
+++ b/src/yuccabeam/http1/parser.cpp
@@ -67,18 +67,20 @@
     }
 
     void append_name(std::string_view part) {
+        // Fields behind the body (trailers) are dropped.
+        if (head_done)
+            return;
         if (reading_value || head.fields.empty())
             head.fields.emplace_back();
         reading_value = false;
-        // Fields behind the body (trailers) are dropped.
-        if (!head_done)
-            head.fields.back().name += part;
+        head.fields.back().name += part;
     }
 
     void append_value(std::string_view part) {
+        if (head_done)
+            return;
         reading_value = true;
-        if (!head_done)
-            head.fields.back().value += part;
+        head.fields.back().value += part;
     }
 
     // Size of a head that came in one piece with what follows it.
