Bound what the libcurl clients read of one answer

One endless chunk extension, or chunks with long extensions, were read until the target's own end. Targets' bytes that are no answer were reported as a reset, and the blocking client, which is used towards the store, kept a body of any length.

`answer_limits` bounds the head with interim answers and trailers (64 KiB), the chunk framing (1 MiB) and, where it is set, the body; the blocking client takes 32 MiB. One meter counts for both clients. Header and body callbacks end the transfer at their limit; framing is counted from the bytes that libcurl reports as received, which it does in its verbose mode, so that mode is on for chunked answers only. `call_status` gains `malformed` and `too_large`; both mean that the request may have run, and the detectors count them as a server's error.

The bodies of the target client had no limit to test.

--- a/include/yuccabeam/adapters/http_client.hpp
+++ b/include/yuccabeam/adapters/http_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/adapters/answer_limits.hpp"
 #include "yuccabeam/adapters/http_types.hpp"
 #include "yuccabeam/values/fault.hpp"
 
@@ -14,12 +15,14 @@
     http_fields fields;
     std::string body;
     std::chrono::milliseconds timeout{5'000};
+    answer_limits limits{.max_body_bytes = 32u << 20};
 };
 
 /// Performs one call and blocks until it ends.
 ///
 /// Faults: `unreachable` when no byte of the request was sent,
-/// `unknown_effect` when the call may have taken effect.
+/// `unknown_effect` when the call may have taken effect. An answer that is
+/// malformed or reaches one of the limits is the latter.
 result<http_reply> perform(http_call const& call);
 
 } // namespace yuccabeam::adapters
--- a/include/yuccabeam/adapters/target_client.hpp
+++ b/include/yuccabeam/adapters/target_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/adapters/answer_limits.hpp"
 #include "yuccabeam/adapters/http_types.hpp"
 #include "yuccabeam/values/time.hpp"
 
@@ -29,6 +30,7 @@
     /// itself when a reused connection closes before the answer, so requests
     /// that are not idempotent must set it.
     bool fresh_connection = false;
+    answer_limits limits;
 };
 
 enum class body_framing { none, length, chunked, until_close };
@@ -46,6 +48,8 @@
     reset,   ///< connection ended before the head of the answer
     timed_out,
     truncated, ///< connection ended or stalled inside the body
+    malformed, ///< the target sent bytes that are no answer
+    too_large, ///< one of the call's `answer_limits` was reached
     cancelled
 };
 
--- a/src/yuccabeam/adapters/curl_handle.cpp
+++ b/src/yuccabeam/adapters/curl_handle.cpp
@@ -68,6 +68,61 @@
         {std::string(line.substr(0, colon)), std::string(value)});
 }
 
+void answer_meter::attach(CURL* easy, answer_limits const& limits) {
+    easy_ = easy;
+    limits_ = limits;
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, on_debug);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, this);
+    curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+    curl_easy_setopt(easy, CURLOPT_XFERINFODATA, this);
+    curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+    if (limits.max_body_bytes != answer_limits::unlimited)
+        curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE,
+                         static_cast<curl_off_t>(limits.max_body_bytes));
+}
+
+bool answer_meter::add_head_line(std::string_view line) {
+    // libcurl tells received bytes with their framing in its verbose mode
+    // only, which costs time that other answers need not pay.
+    if (same_field_name(line.substr(0, line.find(':')), "Transfer-Encoding"))
+        curl_easy_setopt(easy_, CURLOPT_VERBOSE, 1L);
+    head_bytes_ += line.size();
+    exceeded_ = exceeded_ || head_bytes_ > limits_.max_head_bytes;
+    return !exceeded_;
+}
+
+bool answer_meter::add_body(std::size_t bytes) {
+    body_bytes_ += bytes;
+    exceeded_ = exceeded_ || body_bytes_ > limits_.max_body_bytes;
+    return !exceeded_;
+}
+
+int answer_meter::on_debug(CURL*, curl_infotype type, char*, std::size_t size,
+                           void* self) {
+    if (type == CURLINFO_DATA_IN)
+        static_cast<answer_meter*>(self)->framed_bytes_ += size;
+    return 0;
+}
+
+int answer_meter::on_progress(void* self, curl_off_t, curl_off_t, curl_off_t,
+                              curl_off_t) {
+    auto& meter = *static_cast<answer_meter*>(self);
+    if (meter.framed_bytes_ >
+        meter.body_bytes_ + meter.limits_.max_framing_bytes)
+        meter.exceeded_ = true;
+    return meter.exceeded_ ? 1 : 0;
+}
+
+bool is_malformed(CURLcode code) {
+    return code == CURLE_UNSUPPORTED_PROTOCOL ||
+           code == CURLE_WEIRD_SERVER_REPLY;
+}
+
+bool is_too_large(CURLcode code) {
+    // A header line above libcurl's limit counts as out of memory there.
+    return code == CURLE_FILESIZE_EXCEEDED || code == CURLE_OUT_OF_MEMORY;
+}
+
 bool nothing_sent(CURL* easy, CURLcode code) {
     if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
         code == CURLE_URL_MALFORMAT)
--- a/src/yuccabeam/adapters/curl_handle.hpp
+++ b/src/yuccabeam/adapters/curl_handle.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/adapters/answer_limits.hpp"
 #include "yuccabeam/adapters/http_types.hpp"
 
 #include <curl/curl.h>
@@ -32,6 +33,40 @@
 /// that interim answers are dropped.
 void add_header_line(http_reply& reply, std::string_view line);
 
+/// Counts the bytes of one transfer's answer and ends the transfer when one
+/// of the limits is reached.
+class answer_meter {
+public:
+    /// Sets the callbacks that count chunk framing. The meter must outlive
+    /// the transfer.
+    void attach(CURL* easy, answer_limits const& limits);
+
+    /// Each takes bytes of its kind; false when their limit is reached.
+    bool add_head_line(std::string_view line);
+    bool add_body(std::size_t bytes);
+
+    bool exceeded() const { return exceeded_; }
+
+private:
+    static int on_debug(CURL*, curl_infotype type, char*, std::size_t size,
+                        void* self);
+    static int on_progress(void* self, curl_off_t, curl_off_t, curl_off_t,
+                           curl_off_t);
+
+    CURL* easy_ = nullptr;
+    answer_limits limits_;
+    std::uint64_t head_bytes_ = 0;
+    std::uint64_t body_bytes_ = 0;
+    std::uint64_t framed_bytes_ = 0; ///< body with its chunk framing
+    bool exceeded_ = false;
+};
+
+/// True when libcurl ended a transfer for bytes that are no answer.
+bool is_malformed(CURLcode code);
+
+/// True when libcurl ended a transfer at a limit of its own.
+bool is_too_large(CURLcode code);
+
 /// True when a failed transfer sent no byte of its request.
 bool nothing_sent(CURL* easy, CURLcode code);
 
--- a/src/yuccabeam/adapters/http_client.cpp
+++ b/src/yuccabeam/adapters/http_client.cpp
@@ -6,13 +6,24 @@
 
 namespace {
 
-std::size_t on_body(char* data, std::size_t, std::size_t size, void* reply) {
-    static_cast<http_reply*>(reply)->body.append(data, size);
+struct transfer {
+    http_reply reply;
+    answer_meter meter;
+};
+
+std::size_t on_body(char* data, std::size_t, std::size_t size, void* self) {
+    auto& transfer = *static_cast<struct transfer*>(self);
+    if (!transfer.meter.add_body(size))
+        return 0;
+    transfer.reply.body.append(data, size);
     return size;
 }
 
-std::size_t on_header(char* data, std::size_t, std::size_t size, void* reply) {
-    add_header_line(*static_cast<http_reply*>(reply), {data, size});
+std::size_t on_header(char* data, std::size_t, std::size_t size, void* self) {
+    auto& transfer = *static_cast<struct transfer*>(self);
+    if (!transfer.meter.add_head_line({data, size}))
+        return 0;
+    add_header_line(transfer.reply, {data, size});
     return size;
 }
 
@@ -20,23 +31,27 @@
 
 result<http_reply> perform(http_call const& call) {
     curl_easy_ptr easy(curl_easy_init());
-    http_reply reply;
+    transfer transfer;
     auto const fields =
         set_request(easy.get(), call.method, call.fields, call.body);
+    transfer.meter.attach(easy.get(), call.limits);
     curl_easy_setopt(easy.get(), CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS,
                      static_cast<long>(call.timeout.count()));
     curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &reply);
+    curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &reply);
+    curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &transfer);
     auto const code = curl_easy_perform(easy.get());
     if (code == CURLE_OK)
-        return reply;
+        return std::move(transfer.reply);
     auto const effect = nothing_sent(easy.get(), code)
                             ? fault_code::unreachable
                             : fault_code::unknown_effect;
-    return make_fault(effect, call.url + ": " + curl_easy_strerror(code));
+    auto const* reason = transfer.meter.exceeded()
+                             ? "the answer is larger than its limits"
+                             : curl_easy_strerror(code);
+    return make_fault(effect, call.url + ": " + reason);
 }
 
 } // namespace yuccabeam::adapters
--- a/src/yuccabeam/adapters/target_client.cpp
+++ b/src/yuccabeam/adapters/target_client.cpp
@@ -52,6 +52,7 @@
     curl_easy_ptr easy;
     curl_slist_ptr fields;
     http_reply head_lines;
+    answer_meter meter;
     time_point started;
     duration until_head{};
     bool head_delivered = false;
@@ -71,6 +72,8 @@
 std::size_t on_header(char* data, std::size_t, std::size_t size, void* self) {
     auto& transfer = *static_cast<struct transfer*>(self);
     std::string_view const line(data, size);
+    if (!transfer.meter.add_head_line(line))
+        return 0;
     bool const end_of_head = line == "\r\n" || line == "\n";
     if (!end_of_head) {
         // Fields after the body are trailers; they are not forwarded.
@@ -84,10 +87,11 @@
 
 std::size_t on_body(char* data, std::size_t, std::size_t size, void* self) {
     auto& transfer = *static_cast<struct transfer*>(self);
-    if (transfer.observer->on_data({data, size}))
-        return size;
-    transfer.paused = true;
-    return CURL_WRITEFUNC_PAUSE;
+    if (!transfer.observer->on_data({data, size})) {
+        transfer.paused = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    return transfer.meter.add_body(size) ? size : 0;
 }
 
 curl_easy_ptr make_easy(transfer& transfer) {
@@ -95,6 +99,7 @@
     auto* handle = easy.get();
     auto const& call = transfer.call;
     transfer.fields = set_request(handle, call.method, call.fields, call.body);
+    transfer.meter.attach(handle, call.limits);
     curl_easy_setopt(handle, CURLOPT_URL,
                      ("http://" + call.address + "/").c_str());
     curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET,
@@ -122,6 +127,10 @@
                       bool request_sent) {
     if (code == CURLE_OK && transfer.head_delivered)
         return call_status::complete;
+    if (transfer.meter.exceeded() || is_too_large(code))
+        return call_status::too_large;
+    if (is_malformed(code))
+        return call_status::malformed;
     if (transfer.head_delivered)
         return call_status::truncated;
     if (code == CURLE_OPERATION_TIMEDOUT)
--- a/src/yuccabeam/daemon/exchange.cpp
+++ b/src/yuccabeam/daemon/exchange.cpp
@@ -69,6 +69,9 @@
         return request_outcome::timeout;
     case call_status::truncated:
         return request_outcome::short_answer;
+    case call_status::malformed:
+    case call_status::too_large:
+        return request_outcome::server_error;
     case call_status::complete:
     case call_status::cancelled:
         break;
