Cut off an endless body that no caller gets

When a target answered a request with an error that goes to another target, or without framing, yuccabeamd read the rest of that body before it went on. A body without end kept the caller waiting: its deadline covers the head only. A probe of a target on trial read such a body too, for as long as it came.

The exchange now cuts such a call off after 64 KiB, and the answer's head stays the evidence about the target; a probe's call takes a body of 64 KiB. The new test failed before for an answer without framing and for an error: both targets' bytes went beyond the bound of 16 MiB, up to the test's own end at 64 MiB.

--- a/src/yuccabeam/daemon/exchange.cpp
+++ b/src/yuccabeam/daemon/exchange.cpp
@@ -18,6 +18,10 @@
 // Targets that one download may use before the caller sees the break.
 constexpr std::size_t most_download_attempts = 5;
 
+// A body that no caller gets is read up to this size, so that its connection
+// can serve again.
+constexpr std::size_t max_dropped_bytes = 64u << 10;
+
 // Time for the head of a download's continuation; the caller's deadline was
 // met by the first head.
 constexpr std::chrono::seconds continuation_timeout{10};
@@ -174,6 +178,7 @@
     tried_.push_back(attempt_->record);
     head_.reset();
     failed_answer_.reset();
+    dropped_bytes_ = 0;
     answer_.next_call();
     call_ =
         owner_.client_.start(make_call(attempt_->address), shared_from_this());
@@ -232,14 +237,22 @@
 
 bool exchange::on_data(std::string_view part) {
     std::lock_guard lock(mutex_);
-    if (phase_ != phase::streaming || failed_answer_ || bad_continuation_)
+    if (phase_ != phase::streaming || failed_answer_ || bad_continuation_) {
+        drop(part.size());
         return true;
+    }
     return answer_.write(part,
                          [self = shared_from_this()](auto bytes, bool sent) {
                              self->part_written(bytes, sent);
                          });
 }
 
+void exchange::drop(std::size_t bytes) {
+    dropped_bytes_ += bytes;
+    if (dropped_bytes_ > max_dropped_bytes)
+        owner_.client_.cancel(call_);
+}
+
 void exchange::part_written(std::size_t bytes, bool written) {
     std::lock_guard lock(mutex_);
     answer_.written(bytes, call_);
@@ -260,7 +273,9 @@
 
 attempt_end exchange::classify(adapters::call_end const& end) const {
     attempt_end out;
-    bool const answered = end.status == call_status::complete && head_;
+    bool const cut_off = end.status == call_status::cancelled && failed_answer_;
+    bool const answered =
+        head_ && (end.status == call_status::complete || cut_off);
     out.outcome = answered ? outcome_of(*head_) : outcome_of(end.status);
     out.until_head = head_ ? end.until_head : end.total;
     out.drain_signal = head_ && is_drain_signal(*head_);
--- a/src/yuccabeam/daemon/exchange.hpp
+++ b/src/yuccabeam/daemon/exchange.hpp
@@ -43,6 +43,7 @@
     void acquire_target();
     adapters::target_call make_call(std::string const& address) const;
     void caller_closed();
+    void drop(std::size_t bytes);
     void part_written(std::size_t bytes, bool written);
 
     void begin_answer(adapters::answer_head const& head);
@@ -81,6 +82,7 @@
     std::optional<adapters::answer_head> head_;
     /// The head asks for another attempt; its body is dropped.
     std::optional<retry::failure_kind> failed_answer_;
+    std::size_t dropped_bytes_ = 0;
 
     // Answer to the caller.
     std::optional<resumable_download> download_;
--- a/src/yuccabeam/daemon/proxy_test.cpp
+++ b/src/yuccabeam/daemon/proxy_test.cpp
@@ -198,6 +198,51 @@
     }
 }
 
+// Guards against a caller that waits for the end of a body that it doesn't
+// get, while its target sends without end.
+TEST_CASE("an endless body that no caller gets is cut off") {
+    struct row {
+        char const* name;
+        std::string request;
+        char const* head;
+        int status;
+        int arrivals;
+    };
+    row const rows[] = {
+        {"without framing", post("/"), "HTTP/1.1 200 OK\r\n\r\n", 502, 1},
+        {"of an error", get("/"),
+         "HTTP/1.1 500 Oops\r\nContent-Length: 1000000000000\r\n\r\n", 200, 2},
+    };
+    constexpr std::size_t most_repeated = 64u << 20;
+    // One round of libcurl's reads and what the sockets' buffers hold.
+    constexpr std::size_t most_sent = 16u << 20;
+    std::string const block(16u << 10, 'x');
+    for (auto const& row : rows) {
+        CAPTURE(row.name);
+        std::atomic<int> count{0};
+        std::atomic<std::size_t> sent{0};
+        {
+            auto script = [&](tcp::socket& socket, std::string const&) {
+                if (count++ > 0) {
+                    send_text(socket, ok("fine"));
+                    return false;
+                }
+                send_text(socket, row.head);
+                asio::error_code error;
+                while (!error && sent < most_repeated)
+                    sent += asio::write(socket, asio::buffer(block), error);
+                return false;
+            };
+            scripted_target first(script);
+            scripted_target second(script);
+            fixture daemon({first.address(), second.address()});
+            CHECK(status_of(daemon.ask(row.request)) == row.status);
+        }
+        CHECK(count == row.arrivals);
+        CHECK(sent.load() <= most_sent);
+    }
+}
+
 // Guards against a short answer that looks whole to the caller.
 TEST_CASE("a truncated answer reaches the caller as a broken one") {
     struct row {
--- a/src/yuccabeam/daemon/server.cpp
+++ b/src/yuccabeam/daemon/server.cpp
@@ -39,6 +39,7 @@
 constexpr std::chrono::seconds vm_list_period{10};
 // A probe of a target on trial while there is no traffic.
 constexpr std::chrono::milliseconds probe_timeout{1'000};
+constexpr std::uint64_t max_probe_body_bytes = 64u << 10;
 
 incarnation microseconds_since_epoch() {
     return static_cast<incarnation>(
@@ -271,6 +272,7 @@
     call.request_target = "/health";
     call.fields = {{"Host", started->address}};
     call.head_timeout = probe_timeout;
+    call.limits.max_body_bytes = max_probe_body_bytes;
     requests.client().start(std::move(call),
                             std::make_shared<probe>(pool, std::move(started)));
 }
