Parse the entries of targets that have changed, not all of them

Cause: each change of the store, of whatever key, made a daemon parse the entries of all targets again. With 437 targets that is a turn of the event loop of 1.5 ms on a whole core and ten times as long on a tenth of one, several times a second while targets change; timeouts that are due then measure the daemon.

Change: gateway::target_entries keeps what it parsed by key and revision. An unusable entry is counted once for each revision and not at each change of the store.

--- a/src/yuccabeam/bench/fleet_bench.cpp
+++ b/src/yuccabeam/bench/fleet_bench.cpp
@@ -7,7 +7,7 @@
 #include "yuccabeam/gateway/counters.hpp"
 #include "yuccabeam/gateway/peer_message.hpp"
 #include "yuccabeam/gateway/peer_table.hpp"
-#include "yuccabeam/mirror/store_mirror.hpp"
+#include "yuccabeam/gateway/target_entries.hpp"
 #include "yuccabeam/net/peer_transport.hpp"
 #include "yuccabeam/placement/repeat_budget.hpp"
 #include "yuccabeam/placement/target_book.hpp"
@@ -210,6 +210,15 @@
                           .has_value();
         return usable;
     });
+    gateway::target_entries entries(prefix, read_entry);
+    entries.update(store);
+    report("read entries after a change of one", 200, [&](std::size_t i) {
+        auto changed = items[i % items.size()];
+        changed.revision = ++revision;
+        store.apply({revision - 1, revision, {{changed, false}}});
+        entries.update(store);
+        return entries.targets().size();
+    });
 }
 
 gateway::heartbeat heartbeat_of(std::size_t number) {
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -10,6 +10,7 @@
 #include "yuccabeam/gateway/repeat_ledger.hpp"
 #include "yuccabeam/gateway/request_router.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
+#include "yuccabeam/gateway/target_entries.hpp"
 #include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <asio.hpp>
@@ -118,6 +119,7 @@
     http1::client targets;
     http1::client control_client;
     placement::target_book book;
+    target_entries target_list;
     repeat_ledger repeats;
     peer_link peers;
     std::shared_ptr<store_sync> store;
@@ -146,6 +148,7 @@
       random(std::hash<std::string>{}(settings.vm) ^ new_incarnation()),
       targets(context.get_executor()), control_client(context.get_executor()),
       book(settings.failure_domain, random(), book_options_of(settings)),
+      target_list(formats.content.target_prefix, formats.content.target),
       repeats(budget_options_of(settings), formats.content.repeats_prefix),
       peers({settings.peers, settings.control, settings.failure_domain,
              settings.failure_domains.size(), new_incarnation()},
@@ -208,17 +211,12 @@
 }
 
 void implementation::apply_targets(time_point now) {
-    std::vector<discovered_target> list;
-    auto const& prefix = formats.content.target_prefix;
-    for (auto const* item : store->mirror().with_prefix(prefix)) {
-        auto const id = std::string_view(item->key).substr(prefix.size());
-        if (auto target = formats.content.target(id, item->value))
-            list.push_back(std::move(*target));
-        else
-            counters.count("target_entries_rejected");
-    }
+    if (auto const rejected = target_list.update(store->mirror()))
+        counters.count("target_entries_rejected",
+                       static_cast<double>(rejected));
     bool const after_outage = outage_seen && now - *outage_seen < outage_memory;
-    for (auto const& change : book.replace(list, after_outage, now))
+    for (auto const& change :
+         book.replace(target_list.targets(), after_outage, now))
         log.write(
             "target_changed",
             {{"target", change.target.value},
