Compare lists of targets without copies of their names

Cause: for each list the book built a set of all names, and after an outage it counted the missing targets of the service again for each missing target: work that grows with targets x missing targets.

Change: a record remembers the last list that names it, and the missing targets of each service are counted once.

--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -218,6 +218,7 @@
 
     struct record {
         discovered_target info;
+        std::uint64_t listing = 0;            ///< the last list that names it
         std::uint32_t in_flight = 0;          ///< of this daemon
         std::map<daemon_id, peer_load> peers; ///< of this failure domain
         std::map<failure_domain_id, peer_load> domains; ///< the others
@@ -256,9 +257,9 @@
     double in_flight(record const& entry, time_point now) const;
     demand demand_of(choice_request const& wanted) const;
     offer offer_of(record const& entry, time_point now) const;
-    std::vector<record*> newly_missing(std::set<target_id> const& present);
-    bool mass_loss(record const& entry,
-                   std::set<target_id> const& present) const;
+    bool listed(record const& entry) const;
+    std::vector<record*> newly_missing();
+    std::set<service_id> services_with_mass_loss() const;
     duration vanish_hold(record const& entry) const;
     double probability(record const& entry, time_point now) const;
     bool suspected(record const& entry, time_point now) const;
@@ -272,6 +273,7 @@
     book_options options_;
     std::mt19937_64 random_;
     std::map<target_id, record> records_;
+    std::uint64_t listing_ = 0; ///< number of the last list
     service_loads loads_;
 };
 
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace yuccabeam::placement {
 
@@ -77,92 +76,6 @@
                          book_options options)
     : own_domain_(std::move(own_domain)), options_(options), random_(seed) {}
 
-std::vector<target_change>
-target_book::replace(std::vector<discovered_target> const& targets,
-                     bool after_outage, time_point now) {
-    std::vector<target_change> changes;
-    std::set<target_id> present;
-    for (auto const& info : targets) {
-        present.insert(info.target.id);
-        auto const kind = update(info, now);
-        if (kind)
-            changes.push_back({info.target.id, info.target.service, *kind});
-    }
-    for (auto* entry : newly_missing(present)) {
-        entry->vanished_at = now;
-        entry->vanish_trusted = !after_outage || !mass_loss(*entry, present);
-        changes.push_back({entry->info.target.id, entry->info.target.service,
-                           target_change_kind::vanished});
-    }
-    expire(now);
-    return changes;
-}
-
-std::vector<target_book::record*>
-target_book::newly_missing(std::set<target_id> const& present) {
-    std::vector<record*> out;
-    for (auto& [id, entry] : records_)
-        if (!entry.vanished_at && !present.contains(id))
-            out.push_back(&entry);
-    return out;
-}
-
-// Leases that end in an outage take many targets of a service at once; the
-// loss of a few is the leaving of those few, outage or not.
-bool target_book::mass_loss(record const& entry,
-                            std::set<target_id> const& present) const {
-    std::size_t missing = 0;
-    std::size_t all = 0;
-    for (auto const& [id, other] : records_) {
-        if (other.info.target.service != entry.info.target.service)
-            continue;
-        ++all;
-        missing += !present.contains(id);
-    }
-    return missing >= options_.mass_loss_targets &&
-           static_cast<double>(missing) >=
-               options_.mass_loss_share * static_cast<double>(all);
-}
-
-std::optional<target_change_kind>
-target_book::update(discovered_target const& info, time_point now) {
-    auto& entry = records_[info.target.id];
-    bool const known = entry.info.target.id == info.target.id;
-    bool const same_life = known && entry.info.started_ms == info.started_ms &&
-                           entry.info.target == info.target;
-    if (!same_life) {
-        entry = {};
-        entry.belief = new_belief(options_.belief, now);
-    }
-    bool const said_leaving = entry.info.leaving;
-    bool const returned = entry.vanished_at.has_value();
-    entry.info = info;
-    entry.vanished_at.reset();
-    entry.warm_at = now + info.warm_up_left;
-    if (!same_life)
-        return target_change_kind::joined;
-    if (entry.info.leaving && !said_leaving)
-        return target_change_kind::leaving;
-    if (returned)
-        return target_change_kind::returned;
-    return std::nullopt;
-}
-
-duration target_book::vanish_hold(record const& entry) const {
-    auto const share =
-        entry.vanish_trusted ? options_.vanished_share : options_.lapsed_share;
-    return from_seconds(to_seconds(options_.leaving_limit) * share);
-}
-
-void target_book::expire(time_point now) {
-    std::erase_if(records_, [&](auto const& named) {
-        auto const& entry = named.second;
-        return entry.vanished_at &&
-               (entry.info.leaving ||
-                now - *entry.vanished_at >= vanish_hold(entry));
-    });
-}
-
 target_book::record* target_book::find(target_id const& id) {
     auto const found = records_.find(id);
     return found == records_.end() ? nullptr : &found->second;
--- /dev/null
+++ b/src/yuccabeam/placement/target_listing.cpp
@@ -0,0 +1,108 @@
+// What a target book does with the lists of targets that it is given.
+#include "yuccabeam/placement/target_book.hpp"
+
+#include <map>
+#include <set>
+
+namespace yuccabeam::placement {
+
+std::vector<target_change>
+target_book::replace(std::vector<discovered_target> const& targets,
+                     bool after_outage, time_point now) {
+    std::vector<target_change> changes;
+    ++listing_;
+    for (auto const& info : targets) {
+        auto const kind = update(info, now);
+        if (kind)
+            changes.push_back({info.target.id, info.target.service, *kind});
+    }
+    auto const missing = newly_missing();
+    auto const lapsed = after_outage && !missing.empty()
+                            ? services_with_mass_loss()
+                            : std::set<service_id>{};
+    for (auto* entry : missing) {
+        entry->vanished_at = now;
+        entry->vanish_trusted = !lapsed.contains(entry->info.target.service);
+        changes.push_back({entry->info.target.id, entry->info.target.service,
+                           target_change_kind::vanished});
+    }
+    expire(now);
+    return changes;
+}
+
+bool target_book::listed(record const& entry) const {
+    return entry.listing == listing_;
+}
+
+std::vector<target_book::record*> target_book::newly_missing() {
+    std::vector<record*> out;
+    for (auto& [id, entry] : records_)
+        if (!entry.vanished_at && !listed(entry))
+            out.push_back(&entry);
+    return out;
+}
+
+// Leases that end in an outage take many targets of a service at once; the
+// loss of a few is the leaving of those few, outage or not.
+std::set<service_id> target_book::services_with_mass_loss() const {
+    struct counts {
+        std::size_t missing = 0;
+        std::size_t all = 0;
+    };
+    std::map<service_id, counts> by_service;
+    for (auto const& [id, entry] : records_) {
+        auto& service = by_service[entry.info.target.service];
+        ++service.all;
+        service.missing += !listed(entry);
+    }
+    std::set<service_id> out;
+    for (auto const& [service, targets] : by_service)
+        if (targets.missing >= options_.mass_loss_targets &&
+            static_cast<double>(targets.missing) >=
+                options_.mass_loss_share * static_cast<double>(targets.all))
+            out.insert(service);
+    return out;
+}
+
+std::optional<target_change_kind>
+target_book::update(discovered_target const& info, time_point now) {
+    auto& entry = records_[info.target.id];
+    bool const known = entry.info.target.id == info.target.id;
+    bool const same_life = known && entry.info.started_ms == info.started_ms &&
+                           entry.info.target == info.target;
+    if (!same_life) {
+        entry = {};
+        entry.belief = new_belief(options_.belief, now);
+    }
+    bool const said_leaving = entry.info.leaving;
+    bool const returned = entry.vanished_at.has_value();
+    if (entry.info != info)
+        entry.info = info;
+    entry.listing = listing_;
+    entry.vanished_at.reset();
+    entry.warm_at = now + info.warm_up_left;
+    if (!same_life)
+        return target_change_kind::joined;
+    if (entry.info.leaving && !said_leaving)
+        return target_change_kind::leaving;
+    if (returned)
+        return target_change_kind::returned;
+    return std::nullopt;
+}
+
+duration target_book::vanish_hold(record const& entry) const {
+    auto const share =
+        entry.vanish_trusted ? options_.vanished_share : options_.lapsed_share;
+    return from_seconds(to_seconds(options_.leaving_limit) * share);
+}
+
+void target_book::expire(time_point now) {
+    std::erase_if(records_, [&](auto const& named) {
+        auto const& entry = named.second;
+        return entry.vanished_at &&
+               (entry.info.leaving ||
+                now - *entry.vanished_at >= vanish_hold(entry));
+    });
+}
+
+} // namespace yuccabeam::placement
--- /dev/null
+++ b/src/yuccabeam/placement/target_listing_test.cpp
@@ -0,0 +1,133 @@
+#include "yuccabeam/placement/target_book.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace yuccabeam;
+using namespace yuccabeam::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1'000s};
+
+discovered_target target_of(std::string const& service, int number) {
+    discovered_target out;
+    out.target = {{service + std::to_string(number)},
+                  {service},
+                  {"a"},
+                  "127.0.0.1:1",
+                  6,
+                  330};
+    out.started_ms = 1;
+    return out;
+}
+
+std::vector<discovered_target> two_services() {
+    std::vector<discovered_target> out;
+    for (int i = 0; i < 5; ++i)
+        out.push_back(target_of("x", i));
+    for (int i = 0; i < 3; ++i)
+        out.push_back(target_of("y", i));
+    return out;
+}
+
+std::vector<discovered_target> random_part(std::vector<discovered_target> all) {
+    std::erase_if(all,
+                  [](auto const&) { return *rc::gen::inRange(0, 3) == 0; });
+    return all;
+}
+
+/// Keeps sets of names and counts anew for each target that is missing.
+class simple_listing {
+public:
+    std::size_t replace(std::vector<discovered_target> const& list,
+                        bool after_outage, time_point now) {
+        std::set<std::string> present;
+        std::size_t changes = 0;
+        for (auto const& one : list) {
+            auto const& id = one.target.id.value;
+            present.insert(id);
+            auto const known = held_.find(id);
+            changes += known == held_.end() || known->second.vanished_at;
+            held_[id] = {one.target.service.value, {}, false};
+        }
+        for (auto& [id, entry] : held_)
+            if (!entry.vanished_at && !present.contains(id)) {
+                ++changes;
+                entry.vanished_at = now;
+                entry.lapsed =
+                    after_outage && mass_loss(entry.service, present);
+            }
+        std::erase_if(held_, [&](auto const& named) {
+            auto const& entry = named.second;
+            auto const share =
+                entry.lapsed ? options_.lapsed_share : options_.vanished_share;
+            return entry.vanished_at &&
+                   now - *entry.vanished_at >=
+                       from_seconds(to_seconds(options_.leaving_limit) * share);
+        });
+        return changes;
+    }
+
+    std::size_t size() const { return held_.size(); }
+
+private:
+    struct held_target {
+        std::string service;
+        std::optional<time_point> vanished_at;
+        bool lapsed = false;
+    };
+
+    bool mass_loss(std::string const& service,
+                   std::set<std::string> const& present) const {
+        std::size_t missing = 0;
+        std::size_t all = 0;
+        for (auto const& [id, entry] : held_)
+            if (entry.service == service) {
+                ++all;
+                missing += !present.contains(id);
+            }
+        return missing >= options_.mass_loss_targets &&
+               static_cast<double>(missing) >=
+                   options_.mass_loss_share * static_cast<double>(all);
+    }
+
+    book_options options_;
+    std::map<std::string, held_target> held_;
+};
+
+} // namespace
+
+TEST_CASE("lists of targets in any order leave what a plain count leaves") {
+    CHECK(rc::check([] {
+        target_book book({"a"}, 1);
+        simple_listing expected;
+        auto now = start;
+        for (int step = *rc::gen::inRange(1, 30); step > 0; --step) {
+            auto const list = random_part(two_services());
+            bool const outage = *rc::gen::arbitrary<bool>();
+            now += *rc::gen::element(0ms, 300ms, 900ms);
+            auto const changes = book.replace(list, outage, now);
+            RC_ASSERT(changes.size() == expected.replace(list, outage, now));
+            RC_ASSERT(book.size() == expected.size());
+        }
+    }));
+}
+
+TEST_CASE("an outage that takes many targets of one service doesn't hold one "
+          "of another service that left") {
+    target_book book({"a"}, 1);
+    auto list = two_services();
+    book.replace(list, false, start);
+    std::erase_if(list, [](auto const& one) {
+        auto const& id = one.target.id.value;
+        return id == "x0" || id == "x1" || id == "y0";
+    });
+    book.replace(list, true, start);
+    book.expire(start + 1s);
+    CHECK(book.belief_of({"x0"}, start + 1s));
+    CHECK(book.belief_of({"x1"}, start + 1s));
+    CHECK_FALSE(book.belief_of({"y0"}, start + 1s));
+}
