--- /dev/null
+++ b/include/yuccabeam/gateway/daemon_gauges.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "yuccabeam/gateway/counters.hpp"
+#include "yuccabeam/gateway/peer_table.hpp"
+#include "yuccabeam/gateway/store_sync.hpp"
+#include "yuccabeam/http1/client.hpp"
+#include "yuccabeam/http1/server.hpp"
+#include "yuccabeam/placement/target_book.hpp"
+#include "yuccabeam/telemetry/event_log.hpp"
+#include "yuccabeam/values/time.hpp"
+
+namespace yuccabeam::gateway {
+
+/// The parts of a daemon whose state is shown as gauges.
+struct gauge_sources {
+    placement::target_book const& book;
+    store_sync const& store;
+    telemetry::event_log const& log;
+    http1::client const& targets;
+    http1::server const& callers;
+    peer_table const& peers;
+};
+
+void set_gauges(counters& out, gauge_sources const& from, time_point now);
+
+} // namespace yuccabeam::gateway
--- /dev/null
+++ b/include/yuccabeam/gateway/daemon_options.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "yuccabeam/gateway/drain.hpp"
+#include "yuccabeam/gateway/settings.hpp"
+#include "yuccabeam/placement/repeat_budget.hpp"
+#include "yuccabeam/placement/target_book.hpp"
+#include "yuccabeam/values/ids.hpp"
+
+namespace yuccabeam::gateway {
+
+/// The start of this process, by the system's clock.
+incarnation new_incarnation();
+
+/// Options of a daemon's parts as its settings give them.
+placement::book_options book_options_of(settings const& settings);
+placement::repeat_budget_options budget_options_of(settings const& settings);
+drain_options drain_options_of(settings const& settings);
+
+} // namespace yuccabeam::gateway
--- /dev/null
+++ b/src/yuccabeam/gateway/daemon_gauges.cpp
@@ -0,0 +1,32 @@
+#include "yuccabeam/gateway/daemon_gauges.hpp"
+
+#include <utility>
+
+namespace yuccabeam::gateway {
+
+void set_gauges(counters& out, gauge_sources const& from, time_point now) {
+    out.clear_targets();
+    for (auto const& belief : from.book.beliefs(now))
+        out.set_target(belief.target.value, belief.service.value,
+                       belief.in_flight, belief.suspected);
+    auto const& calls = from.store.counters();
+    auto const& lines = from.log.counters();
+    std::pair<char const*, double> const gauges[] = {
+        {"peers_live", static_cast<double>(from.peers.live_count(now))},
+        {"store_revision", static_cast<double>(from.store.mirror().revision())},
+        {"store_calls", static_cast<double>(calls.calls)},
+        {"store_call_failures", static_cast<double>(calls.failures)},
+        {"peer_pulls", static_cast<double>(calls.pulls)},
+        {"peer_pull_failures", static_cast<double>(calls.pull_failures)},
+        {"log_lines", static_cast<double>(lines.written)},
+        {"log_lines_lost",
+         static_cast<double>(lines.over_rate + lines.blocked)},
+        {"target_connections",
+         static_cast<double>(from.targets.connections_opened())},
+        {"callers_connected", static_cast<double>(from.callers.connections())},
+    };
+    for (auto const& [name, value] : gauges)
+        out.set(name, value);
+}
+
+} // namespace yuccabeam::gateway
--- /dev/null
+++ b/src/yuccabeam/gateway/daemon_options.cpp
@@ -0,0 +1,34 @@
+#include "yuccabeam/gateway/daemon_options.hpp"
+
+#include <chrono>
+
+namespace yuccabeam::gateway {
+
+yuccabeam::incarnation new_incarnation() {
+    return static_cast<yuccabeam::incarnation>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+}
+
+placement::book_options book_options_of(settings const& settings) {
+    placement::book_options out;
+    out.leaving_limit = settings.leaving_limit;
+    return out;
+}
+
+placement::repeat_budget_options budget_options_of(settings const& settings) {
+    placement::repeat_budget_options out;
+    out.ratio = settings.repeat_ratio;
+    out.fleet_slack = settings.repeat_slack;
+    out.window = settings.repeat_window;
+    return out;
+}
+
+drain_options drain_options_of(settings const& settings) {
+    drain_options out;
+    out.grace = settings.grace;
+    return out;
+}
+
+} // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -4,6 +4,8 @@
 #include "yuccabeam/gateway/belief_text.hpp"
 #include "yuccabeam/gateway/control_service.hpp"
 #include "yuccabeam/gateway/counters.hpp"
+#include "yuccabeam/gateway/daemon_gauges.hpp"
+#include "yuccabeam/gateway/daemon_options.hpp"
 #include "yuccabeam/gateway/drain.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
 #include "yuccabeam/gateway/policy_keeper.hpp"
@@ -14,7 +16,6 @@
 #include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <asio.hpp>
-#include <map>
 #include <random>
 #include <utility>
 
@@ -34,33 +35,6 @@
 // A recent outage of the store explains many targets that vanish at once.
 constexpr duration outage_memory = std::chrono::seconds(3);
 
-yuccabeam::incarnation new_incarnation() {
-    return static_cast<yuccabeam::incarnation>(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
-placement::book_options book_options_of(settings const& settings) {
-    placement::book_options out;
-    out.leaving_limit = settings.leaving_limit;
-    return out;
-}
-
-placement::repeat_budget_options budget_options_of(settings const& settings) {
-    placement::repeat_budget_options out;
-    out.ratio = settings.repeat_ratio;
-    out.fleet_slack = settings.repeat_slack;
-    out.window = settings.repeat_window;
-    return out;
-}
-
-drain_options drain_options_of(settings const& settings) {
-    drain_options out;
-    out.grace = settings.grace;
-    return out;
-}
-
 } // namespace
 
 struct entry_daemon::implementation
@@ -97,7 +71,6 @@
     // Control address.
     control_parts make_control_parts();
     std::string changes_after(std::uint64_t revision);
-    void refresh_gauges();
     daemon_state state(time_point now) const;
 
     // Life of the process.
@@ -360,8 +333,13 @@
 }
 
 control_parts implementation::make_control_parts() {
-    return {[this] { refresh_gauges(); }, counters,
-            [this] { return state(boot_now()); },
+    return {[this] {
+                set_gauges(
+                    counters,
+                    {book, *store, log, targets, *callers, peers.table()},
+                    boot_now());
+            },
+            counters, [this] { return state(boot_now()); },
             [this](std::uint64_t revision) { return changes_after(revision); }};
 }
 
@@ -373,32 +351,6 @@
     return encode_changes(store->mirror().changes_since(revision), addresses);
 }
 
-void implementation::refresh_gauges() {
-    auto const now = boot_now();
-    counters.clear_targets();
-    for (auto const& belief : book.beliefs(now))
-        counters.set_target(belief.target.value, belief.service.value,
-                            belief.in_flight, belief.suspected);
-    auto const& calls = store->counters();
-    auto const& lines = log.counters();
-    std::pair<char const*, double> const gauges[] = {
-        {"peers_live", static_cast<double>(peers.table().live_count(now))},
-        {"store_revision", static_cast<double>(store->mirror().revision())},
-        {"store_calls", static_cast<double>(calls.calls)},
-        {"store_call_failures", static_cast<double>(calls.failures)},
-        {"peer_pulls", static_cast<double>(calls.pulls)},
-        {"peer_pull_failures", static_cast<double>(calls.pull_failures)},
-        {"log_lines", static_cast<double>(lines.written)},
-        {"log_lines_lost",
-         static_cast<double>(lines.over_rate + lines.blocked)},
-        {"target_connections",
-         static_cast<double>(targets.connections_opened())},
-        {"callers_connected", static_cast<double>(callers->connections())},
-    };
-    for (auto const& [name, value] : gauges)
-        counters.set(name, value);
-}
-
 daemon_state implementation::state(time_point now) const {
     daemon_state out;
     out.vm = settings.vm;
