--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -4,16 +4,18 @@
 #include "yuccabeam/gateway/belief_text.hpp"
 #include "yuccabeam/gateway/control_service.hpp"
 #include "yuccabeam/gateway/counters.hpp"
+#include "yuccabeam/gateway/daemon_gauges.hpp"
+#include "yuccabeam/gateway/daemon_options.hpp"
 #include "yuccabeam/gateway/drain.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
 #include "yuccabeam/gateway/policy_keeper.hpp"
 #include "yuccabeam/gateway/repeat_ledger.hpp"
 #include "yuccabeam/gateway/request_router.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
+#include "yuccabeam/gateway/target_entries.hpp"
 #include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <asio.hpp>
-#include <map>
 #include <random>
 #include <utility>
 
@@ -33,33 +35,6 @@
 // A recent outage of the store explains many targets that vanish at once.
 constexpr duration outage_memory = std::chrono::seconds(3);
 
-yuccabeam::incarnation new_incarnation() {
-    return static_cast<yuccabeam::incarnation>(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
-placement::book_options book_options_of(settings const& settings) {
-    placement::book_options out;
-    out.leaving_limit = settings.leaving_limit;
-    return out;
-}
-
-placement::repeat_budget_options budget_options_of(settings const& settings) {
-    placement::repeat_budget_options out;
-    out.ratio = settings.repeat_ratio;
-    out.fleet_slack = settings.repeat_slack;
-    out.window = settings.repeat_window;
-    return out;
-}
-
-drain_options drain_options_of(settings const& settings) {
-    drain_options out;
-    out.grace = settings.grace;
-    return out;
-}
-
 } // namespace
 
 struct entry_daemon::implementation
@@ -96,7 +71,6 @@
     // Control address.
     control_parts make_control_parts();
     std::string changes_after(std::uint64_t revision);
-    void refresh_gauges();
     daemon_state state(time_point now) const;
 
     // Life of the process.
@@ -118,6 +92,7 @@
     http1::client targets;
     http1::client control_client;
     placement::target_book book;
+    target_entries target_list;
     repeat_ledger repeats;
     peer_link peers;
     std::shared_ptr<store_sync> store;
@@ -146,6 +121,7 @@
       random(std::hash<std::string>{}(settings.vm) ^ new_incarnation()),
       targets(context.get_executor()), control_client(context.get_executor()),
       book(settings.failure_domain, random(), book_options_of(settings)),
+      target_list(formats.content.target_prefix, formats.content.target),
       repeats(budget_options_of(settings), formats.content.repeats_prefix),
       peers({settings.peers, settings.control, settings.failure_domain,
              settings.failure_domains.size(), new_incarnation()},
@@ -208,17 +184,12 @@
 }
 
 void implementation::apply_targets(time_point now) {
-    std::vector<discovered_target> list;
-    auto const& prefix = formats.content.target_prefix;
-    for (auto const* item : store->mirror().with_prefix(prefix)) {
-        auto const id = std::string_view(item->key).substr(prefix.size());
-        if (auto target = formats.content.target(id, item->value))
-            list.push_back(std::move(*target));
-        else
-            counters.count("target_entries_rejected");
-    }
+    if (auto const rejected = target_list.update(store->mirror()))
+        counters.count("target_entries_rejected",
+                       static_cast<double>(rejected));
     bool const after_outage = outage_seen && now - *outage_seen < outage_memory;
-    for (auto const& change : book.replace(list, after_outage, now))
+    for (auto const& change :
+         book.replace(target_list.targets(), after_outage, now))
         log.write(
             "target_changed",
             {{"target", change.target.value},
@@ -362,8 +333,13 @@
 }
 
 control_parts implementation::make_control_parts() {
-    return {[this] { refresh_gauges(); }, counters,
-            [this] { return state(boot_now()); },
+    return {[this] {
+                set_gauges(
+                    counters,
+                    {book, *store, log, targets, *callers, peers.table()},
+                    boot_now());
+            },
+            counters, [this] { return state(boot_now()); },
             [this](std::uint64_t revision) { return changes_after(revision); }};
 }
 
@@ -375,32 +351,6 @@
     return encode_changes(store->mirror().changes_since(revision), addresses);
 }
 
-void implementation::refresh_gauges() {
-    auto const now = boot_now();
-    counters.clear_targets();
-    for (auto const& belief : book.beliefs(now))
-        counters.set_target(belief.target.value, belief.service.value,
-                            belief.in_flight, belief.suspected);
-    auto const& calls = store->counters();
-    auto const& lines = log.counters();
-    std::pair<char const*, double> const gauges[] = {
-        {"peers_live", static_cast<double>(peers.table().live_count(now))},
-        {"store_revision", static_cast<double>(store->mirror().revision())},
-        {"store_calls", static_cast<double>(calls.calls)},
-        {"store_call_failures", static_cast<double>(calls.failures)},
-        {"peer_pulls", static_cast<double>(calls.pulls)},
-        {"peer_pull_failures", static_cast<double>(calls.pull_failures)},
-        {"log_lines", static_cast<double>(lines.written)},
-        {"log_lines_lost",
-         static_cast<double>(lines.over_rate + lines.blocked)},
-        {"target_connections",
-         static_cast<double>(targets.connections_opened())},
-        {"callers_connected", static_cast<double>(callers->connections())},
-    };
-    for (auto const& [name, value] : gauges)
-        counters.set(name, value);
-}
-
 daemon_state implementation::state(time_point now) const {
     daemon_state out;
     out.vm = settings.vm;
