--- a/src/yuccabeam/bench/fleet_bench.cpp
+++ b/src/yuccabeam/bench/fleet_bench.cpp
@@ -197,6 +197,7 @@
     auto const all = all_targets();
     std::string const prefix = "targets/";
     std::vector<mirror::stored_item> items;
+    items.reserve(all.size());
     std::uint64_t revision = 1;
     for (auto const& one : all)
         items.push_back(
--- a/src/yuccabeam/placement/target_listing_test.cpp
+++ b/src/yuccabeam/placement/target_listing_test.cpp
@@ -26,6 +26,7 @@
 
 std::vector<discovered_target> two_services() {
     std::vector<discovered_target> out;
+    out.reserve(8);
     for (int i = 0; i < 5; ++i)
         out.push_back(target_of("x", i));
     for (int i = 0; i < 3; ++i)
