Try suspected targets only with requests that may be repeated

Cause: a trial of a suspected target goes before every other choice, and it was taken by any idempotent request, also when the fleet's budget of repeats was used up. More than half of the trials fail there, and such a request then ends with the failure. The budget's constant part is small beside the requests of a grown site, so that trials use it up.

Change: a request takes a trial only if it may go to another target afterwards.

Trials stay far more frequent than one in 1.5 s a target; that is another fault.

--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -150,8 +150,8 @@
 /// daemons. A request goes where its expected worth is highest: a failing
 /// target is worth little, and so is one whose queue takes the time that the
 /// request has left; suspicion alone never empties a service. After a short
-/// pause one idempotent request at a time, over the whole fleet, tries a
-/// suspected target, and some successes free it everywhere.
+/// pause one request at a time, over the whole fleet, tries a suspected target,
+/// if the fleet can afford to repeat it, and some successes free it everywhere.
 class target_book {
 public:
     target_book(failure_domain_id own_domain, std::uint64_t seed,
--- a/src/yuccabeam/bench/placement_bench.cpp
+++ b/src/yuccabeam/bench/placement_bench.cpp
@@ -11,6 +11,7 @@
 DEFINE_string(scenario, "", "run only scenarios whose name begins so");
 DEFINE_int32(seeds, 32, "runs of each scenario");
 DEFINE_int32(digest_ms, 100, "period of what failure domains tell each other");
+DEFINE_int32(digest_targets, 35, "targets in one such message");
 DEFINE_string(set, "", "options to change, as name=value,name=value");
 
 using namespace yuccabeam;
@@ -119,6 +120,8 @@
         placement_result sum;
         for (int seed = 1; seed <= FLAGS_seeds; ++seed) {
             scenario.digest_period = std::chrono::milliseconds(FLAGS_digest_ms);
+            scenario.digest_targets =
+                static_cast<std::size_t>(FLAGS_digest_targets);
             scenario.seed = static_cast<std::uint64_t>(seed);
             auto const one =
                 run_placement(scenario, chosen.book, chosen.course);
--- a/src/yuccabeam/bench/placement_world.cpp
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -61,6 +61,13 @@
 
 service_id const service{"svc"};
 
+placement::repeat_budget_options
+budget_options(placement_scenario const& scenario) {
+    placement::repeat_budget_options out;
+    out.fleet_slack = scenario.repeat_slack;
+    return out;
+}
+
 class world {
 public:
     world(placement_scenario const& scenario,
@@ -84,7 +91,8 @@
             vm.domain = i % scenario.domains;
             vm.book = std::make_unique<placement::target_book>(
                 failure_domain_id{domain_name(vm.domain)}, random_(), book);
-            vm.budget = std::make_unique<placement::repeat_budget>();
+            vm.budget = std::make_unique<placement::repeat_budget>(
+                budget_options(scenario));
             vm.book->replace(list, false, now_);
             daemons_.push_back(std::move(vm));
         }
@@ -431,7 +439,9 @@
         std::size_t from = random_() % daemons_.size();
         while (daemons_[from].domain != domain)
             from = (from + 1) % daemons_.size();
-        auto const totals = daemons_[from].book->domain_activity(now_);
+        auto totals = daemons_[from].book->domain_activity(now_);
+        if (totals.size() > scenario_.digest_targets)
+            totals.resize(scenario_.digest_targets);
         for (std::size_t to = 0; to < daemons_.size(); ++to)
             if (daemons_[to].domain != domain)
                 message(from, to, [this, domain, to, totals] {
@@ -500,58 +510,4 @@
     return world(scenario, book, course).run();
 }
 
-std::vector<placement_scenario> const& placement_scenarios() {
-    using std::chrono::milliseconds;
-    using std::chrono::seconds;
-    static std::vector<placement_scenario> const all = [] {
-        std::vector<placement_scenario> out;
-        placement_scenario orders;
-        orders.name = "orders_calm";
-        orders.non_idempotent_per_s = 37;
-        orders.idempotent_per_s = 4;
-        out.push_back(orders);
-        orders.name = "orders_usual";
-        orders.non_idempotent_per_s = 62;
-        orders.idempotent_per_s = 5;
-        out.push_back(orders);
-        orders.name = "orders_heavy";
-        orders.non_idempotent_per_s = 84;
-        orders.idempotent_per_s = 7;
-        out.push_back(orders);
-        auto faults = orders;
-        faults.name = "orders_faults";
-        faults.non_idempotent_per_s = 62;
-        faults.troubles = {
-            {target_trouble::hang, 0.65, 1, seconds(4), seconds(5)},
-            {target_trouble::errors, 0.5, 2, seconds(12), seconds(5)},
-            {target_trouble::hang, 0.65, 1, seconds(24), seconds(5)}};
-        out.push_back(faults);
-        auto slow = orders;
-        slow.name = "orders_slow";
-        slow.non_idempotent_per_s = 62;
-        slow.troubles = {
-            {target_trouble::slow, 0, 6, seconds(12), seconds(9), 12}};
-        out.push_back(slow);
-        auto shed = orders;
-        shed.name = "orders_shed_all";
-        shed.troubles = {{target_trouble::shed, 0.55, shed.targets, seconds(12),
-                          milliseconds(8'500)}};
-        out.push_back(shed);
-        placement_scenario stock;
-        stock.name = "stock_usual";
-        stock.targets = 7;
-        stock.non_idempotent_per_s = 0;
-        stock.idempotent_per_s = 24;
-        stock.work = milliseconds(630);
-        stock.work_spread = 0.5;
-        stock.timeout = seconds(3);
-        out.push_back(stock);
-        stock.name = "stock_heavy";
-        stock.idempotent_per_s = 36;
-        out.push_back(stock);
-        return out;
-    }();
-    return all;
-}
-
 } // namespace yuccabeam::bench
--- a/src/yuccabeam/bench/placement_world.hpp
+++ b/src/yuccabeam/bench/placement_world.hpp
@@ -42,6 +42,7 @@
 struct placement_scenario {
     std::string name;
     std::size_t daemons = 32;
+    double repeat_slack = 50; ///< of the fleet's budget in one window
     std::size_t domains = 3;
     duration link = std::chrono::milliseconds(3); ///< between domains, one way
     std::size_t targets = 15;
@@ -66,6 +67,7 @@
     duration length = std::chrono::seconds(40);
     /// Between what a failure domain tells the others of its load.
     duration digest_period = std::chrono::milliseconds(100);
+    std::size_t digest_targets = 35; ///< in one such message
     double message_loss = 0.001;
     std::uint64_t seed = 1;
 };
--- a/src/yuccabeam/placement/request_course_test.cpp
+++ b/src/yuccabeam/placement/request_course_test.cpp
@@ -132,6 +132,33 @@
     }
 }
 
+// Guards against requests that fail at a suspected target with no repeat left.
+TEST_CASE("only a request that may be repeated tries a suspected target") {
+    struct trial_case {
+        char const* what;
+        bool may_repeat;
+        std::uint32_t max_attempts;
+        bool tries;
+    };
+    trial_case const rows[] = {
+        {"a repeat is left", true, 2, true},
+        {"the fleet's budget is used up", false, 2, false},
+        {"the route allows one attempt", true, 1, false},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.what);
+        fixture f;
+        f.may_repeat = row.may_repeat;
+        target_id const failing{"t0"};
+        f.book.on_peer({failing, 0, notice_kind::failed}, start);
+        auto const now = start + book_options{}.trial_after;
+        REQUIRE(f.suspects(failing, now));
+        auto course = f.course(true, row.max_attempts);
+        REQUIRE(course.start(now).action == course_action::send);
+        CHECK((course.attempts()[0].to.id == failing) == row.tries);
+    }
+}
+
 TEST_CASE("an idempotent request that takes long goes to a second target "
           "once, and the first answer counts") {
     fixture f;
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -223,7 +223,8 @@
                          time_point now) const {
     if (entry.unreachable(now))
         return tier_unreachable;
-    if (wanted.idempotent && wanted.exclude.empty() &&
+    // Most trials fail; the request then needs its second target.
+    if (wanted.repeatable && wanted.exclude.empty() &&
         now >= entry.next_trial && suspected(entry, now))
         return tier_trial;
     if (entry.vanished_at && entry.vanish_trusted)
