Spread the trials of a suspected target over the fleet's requests

What callers saw: idempotent requests on the grown sites fail as trials far more often than the targets' failures explain, and the fleet's budget of repeats is used up by them.

Cause: all daemons learn of a failure together, so the next trial is due at the same moment on all. Every request that the fleet gets until the notice of the first trial has come takes one too.

Change: a request takes a trial that is due with a probability so that the fleet's requests of 20 ms hold one. Services with fewer than 50 requests a second behave as before.

--- a/include/yuccabeam/placement/service_loads.hpp
+++ b/include/yuccabeam/placement/service_loads.hpp
@@ -24,6 +24,8 @@
     void set_fleet_rate(service_id const& service, double per_second);
     void on_answer(service_id const& service, good_answer const& answer);
 
+    /// Requests per second over the whole fleet; 0: unknown.
+    double fleet_rate(service_id const& service) const;
     /// Usual time to an answer that waits for no slot; 0: unknown.
     duration service_time(service_id const& service) const;
     /// The same for non-idempotent requests, which may have more work than the
--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -29,6 +29,9 @@
     duration trial_interval = std::chrono::milliseconds(1'500);
     /// Pause between a trial that succeeded and the next one.
     duration trial_pause = std::chrono::milliseconds(100);
+    /// Mean time over which the fleet's requests take a trial that is due;
+    /// long beside the time in which all daemons hear that one has begun.
+    duration trial_spread = std::chrono::milliseconds(20);
     /// A target that this daemon can't connect to is left alone for this
     /// long, doubled with each further failure up to the second figure.
     duration unreachable_hold = std::chrono::seconds(1);
@@ -248,6 +251,7 @@
                                              time_point now);
     std::vector<record*> candidates(choice_request const& wanted,
                                     time_point now);
+    bool takes_trial(service_id const& service);
     ranked rank(record& entry, choice_request const& wanted,
                 demand const& request, time_point now) const;
     int tier_of(record const& entry, choice_request const& wanted,
--- a/src/yuccabeam/bench/placement_bench.cpp
+++ b/src/yuccabeam/bench/placement_bench.cpp
@@ -58,7 +58,8 @@
     return {{"memory_s", &of.book.belief.memory},
             {"trial_after_s", &of.book.trial_after},
             {"trial_interval_s", &of.book.trial_interval},
-            {"trial_pause_s", &of.book.trial_pause}};
+            {"trial_pause_s", &of.book.trial_pause},
+            {"trial_spread_s", &of.book.trial_spread}};
 }
 
 bool apply_settings(std::string const& text, options& to) {
--- a/src/yuccabeam/placement/service_loads.cpp
+++ b/src/yuccabeam/placement/service_loads.cpp
@@ -61,6 +61,11 @@
     return load ? load->answer_bytes.value / bytes_per_mb : 0;
 }
 
+double service_loads::fleet_rate(service_id const& service) const {
+    auto const* load = find(service);
+    return load ? load->fleet_rate : 0;
+}
+
 double service_loads::busy_slots(service_id const& service) const {
     auto const* load = find(service);
     return load ? load->fleet_rate * load->service_seconds.value : 0;
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -232,6 +232,14 @@
     return now < entry.full_until ? tier_full : tier_usual;
 }
 
+// Trials are told by datagram. Of the requests that the fleet gets meanwhile
+// all would try the same target, and most of them would fail.
+bool target_book::takes_trial(service_id const& service) {
+    double const requests =
+        loads_.fleet_rate(service) * to_seconds(options_.trial_spread);
+    return std::uniform_real_distribution<double>(0, 1)(random_) * requests < 1;
+}
+
 target_book::ranked target_book::rank(record& entry,
                                       choice_request const& wanted,
                                       demand const& request,
@@ -245,7 +253,9 @@
     auto const request = demand_of(wanted);
     std::vector<ranked> best;
     for (auto* entry : candidates(wanted, now)) {
-        auto const one = rank(*entry, wanted, request, now);
+        auto one = rank(*entry, wanted, request, now);
+        if (one.tier == tier_trial && !takes_trial(wanted.service))
+            one.tier = tier_usual;
         auto const key = std::pair(one.tier, -one.worth);
         if (!best.empty()) {
             auto const leader = std::pair(best[0].tier, -best[0].worth);
--- a/src/yuccabeam/placement/target_book_test.cpp
+++ b/src/yuccabeam/placement/target_book_test.cpp
@@ -290,6 +290,38 @@
     CHECK(successes <= 4);
 }
 
+// Guards against a fleet whose daemons all try one suspected target at once.
+TEST_CASE("of the requests that arrive before a trial is told, few take it") {
+    struct spread_case {
+        char const* what;
+        double per_second; ///< of the fleet
+        int requests;      ///< that arrive meanwhile, each at another daemon
+        int least;
+        int most;
+    };
+    spread_case const rows[] = {
+        {"a small fleet tries at once", 20, 1, 1, 1},
+        {"a large one spreads its trials", 400, 100, 1, 20},
+    };
+    book_options const options;
+    auto const now = start + options.trial_after;
+    for (auto const& row : rows) {
+        CAPTURE(row.what);
+        int trials = 0;
+        for (int daemon = 0; daemon < row.requests; ++daemon) {
+            target_book book({"a"}, static_cast<std::uint64_t>(daemon));
+            book.replace(targets_named({"t1", "t2"}), false, start);
+            book.loads().set_fleet_rate({"svc"}, row.per_second);
+            book.on_peer({{"t1"}, 1, notice_kind::failed}, start);
+            auto const choice = book.choose(wants(true), now);
+            REQUIRE(choice);
+            trials += choice->trial;
+        }
+        CHECK(trials >= row.least);
+        CHECK(trials <= row.most);
+    }
+}
+
 TEST_CASE("a single error of a target's own holds it off for a moment; a "
           "second one for longer") {
     target_book book({"a"}, 1);
