--- a/src/yuccabeam/http1/client_timer_test.cpp
+++ b/src/yuccabeam/http1/client_timer_test.cpp
@@ -6,6 +6,18 @@
 
 using namespace yuccabeam::http1;
 
+namespace {
+
+client_request post_to(scripted_peer const& peer) {
+    client_request out;
+    out.address = peer.address();
+    out.method = "POST";
+    out.body = "x";
+    return out;
+}
+
+} // namespace
+
 TEST_CASE("a connect timeout that is due in the same turn as the connection "
           "does not call a written request unsent") {
     asio::io_context context;
@@ -13,10 +25,7 @@
         context, {{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true}});
     client client(context.get_executor());
     std::optional<client_result> out;
-    client_request request;
-    request.address = peer.address();
-    request.method = "POST";
-    request.body = "x";
+    auto request = post_to(peer);
     request.timeout = std::chrono::seconds(30);
     request.connect_timeout = std::chrono::milliseconds(0);
     client.start(request, [&](client_result result) { out = result; });
@@ -32,10 +41,7 @@
     scripted_peer peer(context, {});
     client client(context.get_executor());
     std::optional<client_result> out;
-    client_request request;
-    request.address = peer.address();
-    request.method = "POST";
-    request.body = "x";
+    auto request = post_to(peer);
     request.timeout = std::chrono::milliseconds(0);
     client.start(request, [&](client_result result) { out = result; });
     peer.await_connection();
