Reproduce a change that is in force late while the store is silent

Hypotheses, before any logic is changed: 1. The stages follow one another: a watch is given up after 1.45 s, others learn of it by a heartbeat within 0.4 to 1 s, their first call is silent as well and costs its own time-out. The worst sum is over 2 s. 2. Standbys start one after the other. 3. A route that was added is refused service and not configuration.

When a daemon calls the store moves unchanged from `store_sync` to `store_schedule`, which has no input or output, and the periods of heartbeats become options, so that a test can play the stages. It plays 33 daemons in virtual time with silence that begins at all phases of a watch and a change just after it, for one, two and all watchers, standbys that are silent too, lost datagrams and killed watchers.

--- a/include/yuccabeam/gateway/peer_link.hpp
+++ b/include/yuccabeam/gateway/peer_link.hpp
@@ -15,12 +15,24 @@
 
 namespace yuccabeam::gateway {
 
+/// How often a daemon sends heartbeats.
+struct heartbeat_periods {
+    duration near = std::chrono::seconds(1); ///< to its failure domain
+    /// To the other failure domains: bytes between them are paid for, and what
+    /// they need is the fleet's size and its requests.
+    duration far = std::chrono::seconds(3);
+    /// Of a daemon that follows the store, which is to be missed sooner; see
+    /// `peer_table`.
+    duration watcher = std::chrono::milliseconds(400);
+};
+
 struct peer_link_options {
     std::string address; ///< datagrams, `IP:port`
     std::string control; ///< this daemon's control address
     failure_domain_id failure_domain;
     std::size_t failure_domains = 1;
     yuccabeam::incarnation incarnation = 0;
+    heartbeat_periods periods = {};
 };
 
 struct peer_link_callbacks {
--- a/include/yuccabeam/gateway/store_sync.hpp
+++ b/include/yuccabeam/gateway/store_sync.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccabeam/gateway/formats.hpp"
+#include "yuccabeam/gateway/store_schedule.hpp"
 #include "yuccabeam/http1/client.hpp"
 #include "yuccabeam/mirror/store_mirror.hpp"
 #include "yuccabeam/telemetry/event_log.hpp"
@@ -15,17 +16,9 @@
 
 struct store_sync_options {
     std::string address;
+    store_schedule_options schedule;
     std::chrono::milliseconds call_timeout{1'500};
-    /// Time that a watch may wait in the store. A connection that went silent
-    /// is noticed after this and `watch_slack`; both have to fit well into
-    /// the 2 s in which a configuration must be in force.
-    std::chrono::milliseconds watch_wait{1'000};
-    std::chrono::milliseconds watch_slack{450};
-    /// Pause between a watch that brought changes and the next one; changes
-    /// that come close together then cost one call.
-    std::chrono::milliseconds batch_pause{300};
-    std::chrono::milliseconds retry_pause{150};
-    std::chrono::milliseconds retry_pause_max{1'000};
+    std::chrono::milliseconds entry_retry{1'000};
     std::chrono::seconds entry_ttl{45};
     std::chrono::seconds entry_renewal{15};
     std::string entry_key; ///< this daemon's own entry
@@ -70,9 +63,9 @@
     mirror::store_mirror const& mirror() const { return mirror_; }
     bool loaded() const { return mirror_.revision() > 0; }
     /// Follows the store and heard from it within the last watch.
-    bool watching() const { return watch_sound_; }
+    bool watching() const { return schedule_.watching(); }
     /// The last call to the store failed.
-    bool in_trouble() const { return trouble_; }
+    bool in_trouble() const { return schedule_.in_trouble(); }
     store_sync_counters const& counters() const { return counters_; }
 
 private:
@@ -80,13 +73,14 @@
 
     void call(http1::client_request request, std::chrono::milliseconds timeout,
               handler handler);
-    void list(std::string after);
-    void on_page(http1::client_result const& response);
-    void watch();
-    void on_watch(store_status status, http1::client_result const& response,
-                  std::uint64_t after);
-    void succeed();
-    void fail(std::string_view call, store_status status,
+    void list(planned_call const& plan, std::string after);
+    void on_page(planned_call const& plan,
+                 http1::client_result const& response);
+    void watch(planned_call const& plan);
+    void on_watch(planned_call const& plan, store_status status,
+                  http1::client_result const& response, std::uint64_t after);
+    void succeed(planned_call const& plan, bool news);
+    void fail(planned_call const& plan, store_status status,
               http1::client_result const& response);
     void tend_entry(time_point now);
     void register_entry();
@@ -101,12 +95,7 @@
     mirror::store_mirror mirror_;
     store_sync_counters counters_;
 
-    bool busy_ = false; ///< a listing or a watch is under way
-    bool listing_due_ = true;
-    bool watch_sound_ = false;
-    bool trouble_ = false;
-    int failures_in_row_ = 0;
-    time_point next_call_{};
+    store_schedule schedule_;
     std::vector<mirror::stored_item> listed_;
     std::uint64_t listing_revision_ = 0;
 
--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-constexpr duration heartbeat_period = std::chrono::seconds(1);
-// Bytes between failure domains are paid for, and what other domains need is
-// the fleet's size and its counts of repeats.
-constexpr duration far_heartbeat_period = std::chrono::seconds(3);
-// Those that follow the store are missed sooner; see `peer_table`.
-constexpr duration watcher_heartbeat_period = std::chrono::milliseconds(400);
 constexpr std::size_t max_datagram_bytes = 1'200;
 // Least time between two messages about this daemon's requests for each
 // daemon that hears them; more of them would take up a small VM.
@@ -74,10 +68,10 @@
     for (auto const& address : table_.addresses())
         if (far || table_.is_near(address))
             transport_->send(bytes, address);
-    next_heartbeat_ =
-        now + (message.watching ? watcher_heartbeat_period : heartbeat_period);
+    auto const& periods = options_.periods;
+    next_heartbeat_ = now + (message.watching ? periods.watcher : periods.near);
     if (far)
-        next_far_heartbeat_ = now + far_heartbeat_period;
+        next_far_heartbeat_ = now + periods.far;
 }
 
 void peer_link::tick(time_point now) {
--- /dev/null
+++ b/src/yuccabeam/gateway/store_spread_test.cpp
@@ -0,0 +1,292 @@
+#include "yuccabeam/gateway/peer_link.hpp"
+#include "yuccabeam/gateway/peer_table.hpp"
+#include "yuccabeam/gateway/store_schedule.hpp"
+
+#include <doctest/doctest.h>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace yuccabeam;
+using namespace yuccabeam::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1'000s};
+constexpr duration step = 5ms;
+constexpr duration tick_period = 50ms;
+constexpr duration tick_late = 50ms; ///< at most
+constexpr duration link_delay = 10ms;
+constexpr duration store_answer = 10ms;
+constexpr duration pull_delay = 60ms; ///< as in entry_daemon
+constexpr std::size_t domains = 3;
+constexpr std::size_t daemons_per_domain = 11;
+constexpr std::size_t daemons = domains * daemons_per_domain;
+// Time in which a change of the configuration has to be in force everywhere.
+constexpr duration apply_limit = 2s;
+
+/// Daemons to which the store is silent from some moment on. The first ones of
+/// each failure domain follow it.
+struct silence_case {
+    char const* guards;
+    std::function<bool(std::size_t domain, std::size_t place)> silent;
+    bool killed = false; ///< the silent daemons end at that moment
+    double loss = 0;     ///< of datagrams
+};
+
+std::vector<silence_case> const cases = {
+    {"nobody is silent", [](auto, auto) { return false; }},
+    {"one watcher",
+     [](auto domain, auto place) { return domain == 0 && place == 0; }},
+    {"two watchers",
+     [](auto domain, auto place) { return domain < 2 && place == 0; }},
+    {"all watchers", [](auto, auto place) { return place == 0; }},
+    {"all watchers and the next ones",
+     [](auto, auto place) { return place < 2; }},
+    {"all watchers and most standbys",
+     [](auto, auto place) { return place < daemons_per_domain - 1; }},
+    {"all but one daemon of the fleet",
+     [](auto domain, auto place) {
+         return domain != 1 || place != daemons_per_domain - 1;
+     }},
+    {"all watchers, and datagrams are lost",
+     [](auto, auto place) { return place == 0; }, false, 0.05},
+    {"all watchers are killed", [](auto, auto place) { return place == 0; },
+     true},
+};
+
+/// Plays daemons that follow a store and pass its changes on to one another.
+class spread_play {
+public:
+    spread_play(silence_case const& c, duration silent_from, duration change)
+        : case_(c), silent_from_(start + silent_from), change_(start + change),
+          random_(static_cast<unsigned>((silent_from + change) / step)) {
+        for (std::size_t d = 0; d < daemons; ++d)
+            nodes_.push_back(make(d));
+        for (auto& node : nodes_)
+            for (auto const& other : nodes_)
+                node.table.learn(other.address, now_);
+    }
+
+    /// Time from the change until the last daemon that runs has it.
+    duration run() {
+        for (; now_ < change_ + 5s; now_ += step) {
+            deliver();
+            for (auto& node : nodes_)
+                if (runs(node) && now_ >= node.next_tick)
+                    tick(node);
+            if (now_ >= change_ && all_have(changed))
+                return now_ - change_;
+        }
+        return 5s;
+    }
+
+private:
+    static constexpr std::uint64_t before = 7;
+    static constexpr std::uint64_t changed = 8;
+
+    struct node {
+        std::size_t domain;
+        std::size_t place;
+        std::string address;
+        peer_table table;
+        store_schedule schedule;
+        std::uint64_t revision = 0;
+        time_point next_tick;
+        time_point next_heartbeat{};
+        time_point next_far{};
+        std::optional<time_point> behind_since = {};
+        bool pulling = false;
+    };
+
+    struct event {
+        time_point due;
+        std::function<void()> run;
+    };
+
+    node make(std::size_t d) {
+        auto const domain = d % domains;
+        auto const place = d / domains;
+        auto const address = "10." + std::to_string(domain) + ".0." +
+                             std::to_string(100 + place) + ":7";
+        return {domain,
+                place,
+                address,
+                peer_table({{address}, {std::to_string(domain)}, domains}),
+                store_schedule(),
+                0,
+                start + drawn(tick_period)};
+    }
+
+    duration drawn(duration most) {
+        return step * static_cast<int>(random_() % (most / step + 1));
+    }
+
+    bool lost() {
+        return std::uniform_real_distribution<>(0, 1)(random_) < case_.loss;
+    }
+
+    bool silent(node const& node) const {
+        return now_ >= silent_from_ && case_.silent(node.domain, node.place);
+    }
+
+    bool runs(node const& node) const {
+        return !(case_.killed && silent(node));
+    }
+
+    bool all_have(std::uint64_t revision) const {
+        return std::ranges::all_of(nodes_, [&](auto const& node) {
+            return !runs(node) || node.revision >= revision;
+        });
+    }
+
+    std::uint64_t stored() const { return now_ >= change_ ? changed : before; }
+
+    void after(duration delay, std::function<void()> run) {
+        events_.push_back({now_ + delay, std::move(run)});
+    }
+
+    void deliver() {
+        std::vector<event> due;
+        std::erase_if(events_, [&](auto const& event) {
+            if (event.due > now_)
+                return false;
+            due.push_back(event);
+            return true;
+        });
+        for (auto const& event : due)
+            event.run();
+    }
+
+    void tick(node& node) {
+        node.next_tick = now_ + tick_period + drawn(tick_late);
+        bool const should = node.table.should_watch(now_);
+        if (auto const plan = node.schedule.next(should, now_))
+            call(node, *plan);
+        catch_up(node);
+        if (now_ >= node.next_heartbeat)
+            send_heartbeats(node, now_ >= node.next_far);
+    }
+
+    // --- store ---------------------------------------------------------------
+
+    void call(node& node, planned_call const& plan) {
+        auto const ends = now_ + plan.timeout;
+        auto const waits = now_ + plan.wait;
+        after(store_answer, [this, &node, plan, ends, waits] {
+            poll(node, plan, ends, waits);
+        });
+    }
+
+    // The store's side of a call: answers it when there is news or its wait
+    // is over, and never once it has gone silent.
+    void poll(node& node, planned_call const& plan, time_point ends,
+              time_point waits) {
+        if (!runs(node))
+            return;
+        if (silent(node)) {
+            after(ends - now_, [this, &node, plan] {
+                node.schedule.on_failure(plan.kind, now_);
+            });
+            return;
+        }
+        bool const news = stored() > node.revision;
+        if (!news && now_ < waits) {
+            after(step, [this, &node, plan, ends, waits] {
+                poll(node, plan, ends, waits);
+            });
+            return;
+        }
+        bool const first = plan.kind == store_call::list;
+        node.schedule.on_answer(plan.kind, news, now_);
+        take(node, stored());
+        if (news && !first)
+            pass_on(node);
+    }
+
+    // --- peers ---------------------------------------------------------------
+
+    void take(node& node, std::uint64_t revision) {
+        node.revision = std::max(node.revision, revision);
+    }
+
+    void send(node& to, std::function<void()> run) {
+        if (lost())
+            return;
+        after(link_delay, [this, &to, run = std::move(run)] {
+            if (runs(to))
+                run();
+        });
+    }
+
+    void pass_on(node& from) {
+        for (auto& to : nodes_)
+            send(to,
+                 [this, &to, revision = from.revision] { take(to, revision); });
+    }
+
+    void send_heartbeats(node& from, bool far) {
+        heartbeat message;
+        message.sender = {from.address};
+        message.failure_domain = {std::to_string(from.domain)};
+        message.incarnation = 1;
+        message.store_revision = from.revision;
+        message.watching = from.schedule.watching();
+        message.store_trouble = from.schedule.in_trouble();
+        for (auto& to : nodes_)
+            if (far || to.domain == from.domain)
+                send(to, [this, &to, message] {
+                    to.table.on_heartbeat(message, now_);
+                });
+        heartbeat_periods const periods;
+        from.next_heartbeat =
+            now_ + (message.watching ? periods.watcher : periods.near);
+        if (far)
+            from.next_far = now_ + periods.far;
+    }
+
+    void catch_up(node& node) {
+        if (!node.table.ahead_of(node.revision, now_)) {
+            node.behind_since.reset();
+            return;
+        }
+        if (!node.behind_since)
+            node.behind_since = now_;
+        if (now_ - *node.behind_since < pull_delay || node.pulling)
+            return;
+        node.pulling = true;
+        auto const ahead = node.table.ahead_of(node.revision, now_);
+        after(2 * link_delay, [this, &node, revision = ahead->store_revision] {
+            node.pulling = false;
+            take(node, revision);
+        });
+    }
+
+    silence_case const& case_;
+    time_point silent_from_;
+    time_point change_;
+    std::mt19937 random_;
+    time_point now_ = start;
+    std::vector<node> nodes_;
+    std::vector<event> events_;
+};
+
+} // namespace
+
+// Guards against stages of noticing a silent store that follow one another.
+TEST_CASE("a change is in force everywhere in time while the store is silent "
+          "to those that follow it") {
+    for (auto const& c : cases) {
+        duration worst{};
+        // The change comes just after the silence and at other phases of the
+        // watches.
+        for (duration silent = 5s; silent < 6s; silent += 50ms)
+            for (duration const later : {10ms, 200ms, 500ms, 900ms})
+                worst = std::max(worst,
+                                 spread_play(c, silent, silent + later).run());
+        CAPTURE(std::string(c.guards));
+        CHECK(to_milliseconds(worst) <= to_milliseconds(apply_limit));
+    }
+}
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -33,6 +33,10 @@
     return "unknown";
 }
 
+std::string_view to_string(store_call call) {
+    return call == store_call::list ? "list" : "watch";
+}
+
 } // namespace
 
 store_sync::store_sync(asio::any_io_executor executor, http1::client& client,
@@ -40,21 +44,20 @@
                        store_sync_callbacks callbacks,
                        telemetry::event_log& log)
     : executor_(std::move(executor)), client_(client), format_(format),
-      options_(std::move(options)), callbacks_(std::move(callbacks)),
-      log_(log) {}
+      options_(std::move(options)), callbacks_(std::move(callbacks)), log_(log),
+      schedule_(options_.schedule) {}
 
 void store_sync::tick(time_point now) {
     tend_entry(now);
-    if (busy_ || now < next_call_)
+    auto const plan = schedule_.next(callbacks_.should_watch(), now);
+    if (!plan)
         return;
-    if (listing_due_) {
+    if (plan->kind == store_call::list) {
         listed_.clear();
         listing_revision_ = 0;
-        list("");
-    } else if (callbacks_.should_watch()) {
-        watch();
+        list(*plan, "");
     } else {
-        watch_sound_ = false;
+        watch(*plan);
     }
 }
 
@@ -72,23 +75,22 @@
                   });
 }
 
-void store_sync::list(std::string after) {
-    busy_ = true;
+void store_sync::list(planned_call const& plan, std::string after) {
     ++counters_.listings;
-    call(format_.list("", after), options_.call_timeout,
-         [this](store_status status, client_result response) {
-             busy_ = false;
+    call(format_.list("", after), plan.timeout,
+         [this, plan](store_status status, client_result response) {
              if (status == store_status::ok)
-                 on_page(response);
+                 on_page(plan, response);
              else
-                 fail("list", status, response);
+                 fail(plan, status, response);
          });
 }
 
-void store_sync::on_page(client_result const& response) {
+void store_sync::on_page(planned_call const& plan,
+                         client_result const& response) {
     auto page = format_.read_page(response.body);
     if (!page) {
-        fail("list", store_status::failed, response);
+        fail(plan, store_status::failed, response);
         return;
     }
     if (listed_.empty() && listing_revision_ == 0)
@@ -96,81 +98,63 @@
     auto const last = page->items.empty() ? "" : page->items.back().key;
     std::ranges::move(page->items, std::back_inserter(listed_));
     if (page->more && !last.empty()) {
-        list(last);
+        list(plan, last);
         return;
     }
-    listing_due_ = false;
-    succeed();
+    succeed(plan, true);
     mirror_.replace(std::move(listed_), listing_revision_);
     listed_.clear();
     callbacks_.changed(mirror_.changes_since(0), true);
 }
 
-void store_sync::watch() {
-    busy_ = true;
+void store_sync::watch(planned_call const& plan) {
     auto const after = mirror_.revision();
-    call(format_.watch("", after, options_.watch_wait),
-         options_.watch_wait + options_.watch_slack,
-         [this, after](store_status status, client_result response) {
-             busy_ = false;
-             on_watch(status, response, after);
+    call(format_.watch("", after, plan.wait), plan.timeout,
+         [this, plan, after](store_status status, client_result response) {
+             on_watch(plan, status, response, after);
          });
 }
 
-void store_sync::on_watch(store_status status, client_result const& response,
-                          std::uint64_t after) {
+void store_sync::on_watch(planned_call const& plan, store_status status,
+                          client_result const& response, std::uint64_t after) {
     if (status == store_status::history_gone) {
         log_.write("store_history_gone", {{"after", std::to_string(after)}});
-        listing_due_ = true;
+        schedule_.on_history_gone(plan.kind);
         return;
     }
     auto changes = status == store_status::ok
                        ? format_.read_changes(response.body)
                        : std::nullopt;
     if (!changes) {
-        fail("watch", status, response);
+        fail(plan, status, response);
         return;
     }
-    succeed();
-    watch_sound_ = true;
-    changes->base = after;
     bool const news = !changes->events.empty();
+    succeed(plan, news);
+    changes->base = after;
     mirror_.apply(*changes);
-    if (news) {
-        next_call_ = boot_now() + options_.batch_pause;
+    if (news)
         callbacks_.changed(*changes, true);
-    }
 }
 
-void store_sync::succeed() {
-    failures_in_row_ = 0;
-    if (trouble_)
+void store_sync::succeed(planned_call const& plan, bool news) {
+    if (in_trouble())
         log_.write("store_regained",
                    {{"revision", std::to_string(mirror_.revision())}});
-    trouble_ = false;
+    schedule_.on_answer(plan.kind, news, boot_now());
 }
 
-void store_sync::fail(std::string_view call, store_status status,
+void store_sync::fail(planned_call const& plan, store_status status,
                       client_result const& response) {
     ++counters_.failures;
-    watch_sound_ = false;
-    if (!trouble_)
+    if (!in_trouble())
         log_.write("store_lost",
-                   {{"call", std::string(call)},
+                   {{"call", std::string(to_string(plan.kind))},
                     {"status", std::string(to_string(status))},
                     {"transport", std::string(to_string(response.status))},
                     {"http", std::to_string(response.head.status)},
                     {"revision", std::to_string(mirror_.revision())}});
-    trouble_ = true;
-    // The first retry is at once: the connection may have gone silent while
-    // the store is well.
-    auto pause = std::chrono::milliseconds(0);
-    if (failures_in_row_ > 0)
-        pause = std::min(options_.retry_pause_max,
-                         options_.retry_pause *
-                             (1 << std::min(failures_in_row_ - 1, 4)));
-    ++failures_in_row_;
-    next_call_ = boot_now() + pause;
+    schedule_.on_failure(plan.kind, boot_now());
 }
 
 bool store_sync::take(mirror::store_changes const& changes) {
@@ -178,8 +162,7 @@
         return true;
     if (!mirror_.apply(changes))
         return false;
-    // What a peer gave replaces the first listing.
-    listing_due_ = listing_due_ && mirror_.revision() == 0;
+    schedule_.on_copy();
     callbacks_.changed(changes, false);
     return true;
 }
@@ -239,7 +222,7 @@
 
 void store_sync::register_entry() {
     entry_busy_ = true;
-    next_entry_call_ = boot_now() + options_.retry_pause_max;
+    next_entry_call_ = boot_now() + options_.entry_retry;
     call(format_.grant_lease(options_.entry_ttl), options_.call_timeout,
          [this](store_status status, client_result response) {
              entry_busy_ = false;
@@ -256,7 +239,7 @@
 
 void store_sync::put_entry() {
     entry_busy_ = true;
-    next_entry_call_ = boot_now() + options_.retry_pause_max;
+    next_entry_call_ = boot_now() + options_.entry_retry;
     call(format_.put({options_.entry_key, options_.entry_value, lease_}),
          options_.call_timeout,
          [this](store_status status, client_result const&) {
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -59,10 +59,10 @@
         : store(context, std::move(replies)) {
         store_sync_options options;
         options.address = store.address();
-        options.watch_wait = std::chrono::milliseconds(20);
+        options.schedule.watch_wait = std::chrono::milliseconds(20);
         // Long enough that a scripted answer never misses it on a busy VM.
-        options.watch_slack = std::chrono::milliseconds(1'000);
-        options.batch_pause = {};
+        options.schedule.watch_slack = std::chrono::milliseconds(1'000);
+        options.schedule.batch_pause = {};
         store_sync_callbacks callbacks;
         callbacks.changed = [](auto const&, bool) {};
         callbacks.should_watch = [] { return true; };
@@ -94,7 +94,7 @@
 
 TEST_CASE("a silent store connection is noticed in time for a configuration "
           "to be in force within 2 s") {
-    store_sync_options const options;
+    store_schedule_options const options;
     constexpr std::chrono::milliseconds limit{2'000};
     // What is left covers the new connection and the way to the peers.
     constexpr std::chrono::milliseconds reserve{400};
--- a/src/yuccabeam/placement/repeat_budget_test.cpp
+++ b/src/yuccabeam/placement/repeat_budget_test.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
 using namespace yuccabeam;
@@ -281,7 +282,7 @@
           "another inside a burst of failures") {
     for (auto const& c : cases)
         for (unsigned seed = 1; seed <= 5; ++seed) {
-            CAPTURE(c.guards);
+            CAPTURE(std::string(c.guards));
             CAPTURE(seed);
             CHECK(fleet_play(c, seed).run().worst_excess <= 0);
         }
