Let each daemon ask the store when its copy is no longer confirmed

Requests were handled by an older configuration more than 2 s after the confirmation of a newer one, while the store was silent to the daemons that followed it.

Cause: a watch was given up after 1.45 s, the others learnt of it by heartbeat, and only then made their first call, which was often silent as well. The stages add up to more than the limit. The class of fault is a chain of time-outs, each sensible alone, in which one stage starts when the one before has failed.

Change: a daemon knows the age of its copy. Each answer of the store confirms it and is told to the failure domain at once; a daemon whose copy is older than 0.9 s and a delay of its own asks the store itself, on a new connection, while a watch may still hang. Watches are answered after 0.6 s instead of 1 s. Trouble with the store is told at once. `store_checked` lines and the gauge `store_copy_age_seconds` show it.

Ruled out: a route that was refused service.

The test of a watch on a silent connection sets the age limit aside, as the check would answer first; a test of the check is added.

--- a/include/yuccabeam/gateway/peer_link.hpp
+++ b/include/yuccabeam/gateway/peer_link.hpp
@@ -21,9 +21,6 @@
     /// To the other failure domains: bytes between them are paid for, and what
     /// they need is the fleet's size and its requests.
     duration far = std::chrono::seconds(3);
-    /// Of a daemon that follows the store, which is to be missed sooner; see
-    /// `peer_table`.
-    duration watcher = std::chrono::milliseconds(400);
 };
 
 struct peer_link_options {
@@ -63,6 +60,8 @@
     void tick(time_point now);
     /// Tells every daemon this daemon's state at once.
     void announce(time_point now);
+    /// The same for the daemons of its failure domain.
+    void announce_near(time_point now);
     void say_goodbye(time_point now);
 
     void tell(placement::target_notice const& notice);
--- a/include/yuccabeam/gateway/peer_message.hpp
+++ b/include/yuccabeam/gateway/peer_message.hpp
@@ -5,6 +5,7 @@
 #include "yuccabeam/placement/target_book.hpp"
 #include "yuccabeam/values/ids.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,6 +23,8 @@
     failure_domain_id failure_domain;
     yuccabeam::incarnation incarnation = 0;
     std::uint64_t store_revision = 0;
+    /// Time since that revision was last known to be the store's newest.
+    std::chrono::milliseconds copy_age{};
     bool watching = false;      ///< follows the store and hears from it
     bool store_trouble = false; ///< its last call to the store failed
     bool leaving = false;       ///< its process is about to end
--- a/include/yuccabeam/gateway/store_schedule.hpp
+++ b/include/yuccabeam/gateway/store_schedule.hpp
@@ -8,13 +8,23 @@
 
 namespace yuccabeam::gateway {
 
+constexpr std::chrono::milliseconds max_check_delay{200};
+
 struct store_schedule_options {
     std::chrono::milliseconds list_timeout{1'500};
-    /// Time that a watch may wait in the store. A connection that went silent
-    /// is noticed after this and `watch_slack`; both have to fit well into
-    /// the 2 s in which a configuration must be in force.
-    std::chrono::milliseconds watch_wait{1'000};
+    /// Time that a watch may wait in the store. Each answer confirms the
+    /// copies of the daemons that hear of it, so this is well below
+    /// `max_copy_age`.
+    std::chrono::milliseconds watch_wait{600};
     std::chrono::milliseconds watch_slack{450};
+    /// A daemon whose copy was not confirmed for this long asks the store
+    /// itself.
+    std::chrono::milliseconds max_copy_age{900};
+    /// Added to that, from 0 to `max_check_delay` and different for each
+    /// daemon: the answer to the first one spares the others the call.
+    std::chrono::milliseconds check_delay{};
+    /// Time limit of such a call; it doubles with each failure.
+    std::chrono::milliseconds check_timeout{300};
     /// Pause between a watch that brought changes and the next one; changes
     /// that come close together then cost one call.
     std::chrono::milliseconds batch_pause{300};
@@ -23,8 +33,9 @@
 };
 
 enum class store_call : std::uint8_t {
-    list, ///< everything that is stored
-    watch ///< waits for changes
+    list,  ///< everything that is stored
+    watch, ///< waits for changes
+    check  ///< asks for changes without a wait, on a connection of its own
 };
 
 /// A call to the store that is due.
@@ -36,6 +47,13 @@
 
 /// When a daemon reads the store: one listing, then watches while it is to
 /// follow the store, and repeated tries while the store fails it.
+///
+/// The store's answer confirms that the copy was current at that moment, and
+/// daemons tell one another how old their last confirmation is. A daemon whose
+/// confirmation is too old asks the store itself, whatever has become of
+/// those that follow it. So each daemon that the store answers has a change
+/// within `max_copy_age`, `check_delay` and one call, and the others hear of
+/// it from these.
 class store_schedule {
 public:
     explicit store_schedule(store_schedule_options options = {})
@@ -50,6 +68,10 @@
     void on_history_gone(store_call kind);
     /// A peer gave a whole copy, so that no listing is needed.
     void on_copy();
+    /// The copy was current at `at`.
+    void on_confirmed(time_point at);
+    /// Time since the copy was last known to be current.
+    duration copy_age(time_point now) const { return now - confirmed_at_; }
 
     /// Follows the store and heard from it within the last watch.
     bool watching() const { return watching_; }
@@ -57,12 +79,19 @@
     bool in_trouble() const { return failures_in_row_ > 0; }
 
 private:
+    bool check_due(time_point now) const;
+    bool& under_way(store_call kind);
+    std::chrono::milliseconds check_timeout() const;
+
     store_schedule_options options_;
-    bool under_way_ = false;
+    bool follow_under_way_ = false; ///< a listing or a watch
+    bool check_under_way_ = false;
     bool listing_due_ = true;
     bool watching_ = false;
     int failures_in_row_ = 0;
     time_point next_call_{};
+    time_point next_check_{};
+    time_point confirmed_at_{};
 };
 
 } // namespace yuccabeam::gateway
--- a/include/yuccabeam/gateway/store_sync.hpp
+++ b/include/yuccabeam/gateway/store_sync.hpp
@@ -29,6 +29,7 @@
     std::uint64_t calls = 0;
     std::uint64_t failures = 0;
     std::uint64_t listings = 0;
+    std::uint64_t checks = 0;
     std::uint64_t pulls = 0;
     std::uint64_t pull_failures = 0;
 };
@@ -38,6 +39,8 @@
     /// read itself from those of a peer.
     std::function<void(mirror::store_changes const&, bool from_store)> changed;
     std::function<bool()> should_watch;
+    /// The store has just confirmed the copy.
+    std::function<void()> confirmed;
     std::function<void(std::vector<std::string> const&)> peers_learnt;
 };
 
@@ -55,6 +58,8 @@
     /// Changes that a peer passed on. Returns false when some before them
     /// are missing here.
     bool take(mirror::store_changes const& changes);
+    /// A peer knows that `revision` was the store's newest at `at`.
+    void on_confirmed(std::uint64_t revision, time_point at);
     /// Asks another daemon for what is missing here.
     void pull(std::string const& control_address, time_point now);
     /// Removes this daemon's entry.
@@ -64,6 +69,8 @@
     bool loaded() const { return mirror_.revision() > 0; }
     /// Follows the store and heard from it within the last watch.
     bool watching() const { return schedule_.watching(); }
+    /// Time since the copy was last known to be current.
+    duration copy_age(time_point now) const { return schedule_.copy_age(now); }
     /// The last call to the store failed.
     bool in_trouble() const { return schedule_.in_trouble(); }
     store_sync_counters const& counters() const { return counters_; }
--- a/src/yuccabeam/gateway/daemon_gauges.cpp
+++ b/src/yuccabeam/gateway/daemon_gauges.cpp
@@ -15,6 +15,8 @@
         {"peers_live", static_cast<double>(from.peers.live_count(now))},
         {"store_revision", static_cast<double>(from.store.mirror().revision())},
         {"store_calls", static_cast<double>(calls.calls)},
+        {"store_checks", static_cast<double>(calls.checks)},
+        {"store_copy_age_seconds", to_seconds(from.store.copy_age(now))},
         {"store_call_failures", static_cast<double>(calls.failures)},
         {"peer_pulls", static_cast<double>(calls.pulls)},
         {"peer_pull_failures", static_cast<double>(calls.pull_failures)},
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -109,6 +109,7 @@
     bool was_ready = false;
     std::optional<time_point> stopping_since;
     std::optional<time_point> outage_seen;
+    bool trouble_told = false;
     std::optional<time_point> behind_since;
 };
 
@@ -136,6 +137,8 @@
     options.address = settings.store;
     options.entry_key = formats.content.daemon_prefix + settings.peers;
     options.entry_value = settings.peers;
+    options.schedule.check_delay = std::chrono::milliseconds(
+        random() % static_cast<std::uint64_t>(max_check_delay.count() + 1));
     store = std::make_shared<store_sync>(context.get_executor(), control_client,
                                          formats.store, options,
                                          store_callbacks(), log);
@@ -164,6 +167,7 @@
     out.should_watch = [this] {
         return peers.table().should_watch(boot_now());
     };
+    out.confirmed = [this] { peers.announce_near(boot_now()); };
     out.peers_learnt = [this](std::vector<std::string> const& addresses) {
         for (auto const& address : addresses)
             peers.table().learn(address, boot_now());
@@ -244,7 +248,10 @@
 void implementation::fill_heartbeat(heartbeat& out) {
     out.store_revision = store->mirror().revision();
     out.watching = store->watching() && !stopping_since;
+    out.copy_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        store->copy_age(boot_now()));
     out.store_trouble = store->in_trouble();
+    trouble_told = out.store_trouble;
     out.budgets = repeats.reports(boot_now());
 }
 
@@ -256,6 +263,7 @@
                    {"failure_domain", message.failure_domain.value}});
     for (auto const& [service, report] : message.budgets)
         repeats.of(service).on_report(message.sender, report, now);
+    store->on_confirmed(message.store_revision, now - message.copy_age);
     if (message.store_trouble)
         outage_seen = now;
 }
@@ -454,6 +462,9 @@
     for (auto const& [service, rate] : repeats.fleet_rates(now))
         book.loads().set_fleet_rate(service, rate);
     if (!stopping_since) {
+        // Others then take over following the store.
+        if (store->in_trouble() != trouble_told)
+            peers.announce_near(now);
         peers.tick(now);
         ask_for_credit(now);
     }
--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -69,7 +69,7 @@
         if (far || table_.is_near(address))
             transport_->send(bytes, address);
     auto const& periods = options_.periods;
-    next_heartbeat_ = now + (message.watching ? periods.watcher : periods.near);
+    next_heartbeat_ = now + periods.near;
     if (far)
         next_far_heartbeat_ = now + periods.far;
 }
@@ -89,6 +89,10 @@
     send_heartbeats(now, true);
 }
 
+void peer_link::announce_near(time_point now) {
+    send_heartbeats(now, false);
+}
+
 void peer_link::say_goodbye(time_point) {
     auto message = own_heartbeat(false);
     message.leaving = true;
--- a/src/yuccabeam/gateway/peer_message.cpp
+++ b/src/yuccabeam/gateway/peer_message.cpp
@@ -38,7 +38,7 @@
                         value.failure_domain.value, value.incarnation,
                         value.store_revision, value.watching,
                         value.store_trouble, value.leaving, value.wants_reply,
-                        std::move(budgets)});
+                        std::move(budgets), value.copy_age.count()});
 }
 
 json to_json(belief_message const& value) {
@@ -114,6 +114,10 @@
     for (auto const& report : in.at(9))
         out.budgets[{report.at(0).get<std::string>()}] = {
             report.at(1).get<double>(), report.at(2).get<double>()};
+    out.copy_age = std::chrono::milliseconds(in.at(10).get<std::int64_t>());
+    // A copy can't be confirmed in the future.
+    if (out.copy_age.count() < 0)
+        throw std::out_of_range("age of a copy");
     return out;
 }
 
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -33,6 +33,7 @@
     heartbeat sample = beat("10.0.0.1:7", "a");
     sample.store_revision = 77;
     sample.watching = true;
+    sample.copy_age = 640ms;
     sample.budgets[{"svc"}] = {12, 0.75};
     std::vector<peer_message> const messages = {
         sample,
@@ -74,6 +75,13 @@
     }
 }
 
+// Guards against a copy that counts as current for good.
+TEST_CASE("an age below zero is refused") {
+    auto message = beat("10.0.0.1:7", "a");
+    message.copy_age = -1ms;
+    CHECK_FALSE(decode(encode(message)));
+}
+
 TEST_CASE("one daemon of a failure domain follows the store; another takes "
           "over when it is silent or has trouble") {
     struct row {
--- a/src/yuccabeam/gateway/store_schedule.cpp
+++ b/src/yuccabeam/gateway/store_schedule.cpp
@@ -4,36 +4,56 @@
 
 namespace yuccabeam::gateway {
 
+bool& store_schedule::under_way(store_call kind) {
+    return kind == store_call::check ? check_under_way_ : follow_under_way_;
+}
+
+// A check has a state of its own, as it is due just when a watch hangs.
 std::optional<planned_call> store_schedule::next(bool should_watch,
                                                  time_point now) {
-    if (under_way_ || now < next_call_)
+    if (check_due(now)) {
+        check_under_way_ = true;
+        return planned_call{store_call::check, {}, check_timeout()};
+    }
+    if (follow_under_way_ || now < next_call_)
         return std::nullopt;
     if (!listing_due_ && !should_watch) {
         watching_ = false;
         return std::nullopt;
     }
-    under_way_ = true;
+    follow_under_way_ = true;
     if (listing_due_)
         return planned_call{store_call::list, {}, options_.list_timeout};
     return planned_call{store_call::watch, options_.watch_wait,
                         options_.watch_wait + options_.watch_slack};
 }
 
+bool store_schedule::check_due(time_point now) const {
+    return !listing_due_ && !check_under_way_ && now >= next_check_ &&
+           copy_age(now) >= options_.max_copy_age + options_.check_delay;
+}
+
+std::chrono::milliseconds store_schedule::check_timeout() const {
+    return std::min(options_.list_timeout,
+                    options_.check_timeout *
+                        (1 << std::min(failures_in_row_, 4)));
+}
+
 void store_schedule::on_answer(store_call kind, bool news, time_point now) {
-    under_way_ = false;
+    under_way(kind) = false;
     failures_in_row_ = 0;
-    if (kind == store_call::list) {
+    on_confirmed(now);
+    if (kind == store_call::list)
         listing_due_ = false;
+    if (kind != store_call::watch)
         return;
-    }
     watching_ = true;
     if (news)
         next_call_ = now + options_.batch_pause;
 }
 
-void store_schedule::on_failure(store_call, time_point now) {
-    under_way_ = false;
-    watching_ = false;
+void store_schedule::on_failure(store_call kind, time_point now) {
+    under_way(kind) = false;
     // The first retry is at once: the connection may have gone silent while
     // the store is well.
     auto pause = std::chrono::milliseconds(0);
@@ -42,11 +62,16 @@
                          options_.retry_pause *
                              (1 << std::min(failures_in_row_ - 1, 4)));
     ++failures_in_row_;
-    next_call_ = now + pause;
+    if (kind == store_call::check) {
+        next_check_ = now + pause;
+    } else {
+        watching_ = false;
+        next_call_ = now + pause;
+    }
 }
 
-void store_schedule::on_history_gone(store_call) {
-    under_way_ = false;
+void store_schedule::on_history_gone(store_call kind) {
+    under_way(kind) = false;
     listing_due_ = true;
 }
 
@@ -54,4 +79,8 @@
     listing_due_ = false;
 }
 
+void store_schedule::on_confirmed(time_point at) {
+    confirmed_at_ = std::max(confirmed_at_, at);
+}
+
 } // namespace yuccabeam::gateway
--- /dev/null
+++ b/src/yuccabeam/gateway/store_schedule_test.cpp
@@ -0,0 +1,86 @@
+#include "yuccabeam/gateway/store_schedule.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace yuccabeam;
+using namespace yuccabeam::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1'000s};
+
+store_schedule copied_schedule() {
+    store_schedule out;
+    REQUIRE(out.next(false, start)->kind == store_call::list);
+    out.on_answer(store_call::list, true, start);
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a daemon checks its copy itself when nobody has confirmed it") {
+    store_schedule_options const options;
+    struct row {
+        char const* guards;
+        duration confirmed;
+        duration now;
+        bool checks;
+    };
+    row const rows[] = {
+        {"a young copy", 0ms, options.max_copy_age - 1ms, false},
+        {"an old copy", 0ms, options.max_copy_age, true},
+        {"an old copy that a peer has confirmed", 500ms,
+         options.max_copy_age + 400ms, false},
+        {"a confirmation that is older than the last one", -500ms,
+         options.max_copy_age - 1ms, false},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(std::string(row.guards));
+        auto schedule = copied_schedule();
+        schedule.on_confirmed(start + row.confirmed);
+        auto const call = schedule.next(false, start + row.now);
+        CHECK(call.has_value() == row.checks);
+        if (call)
+            CHECK(call->kind == store_call::check);
+    }
+}
+
+// Guards against an outage in which each daemon calls without a pause, and
+// against one short time limit for a store that is slow.
+TEST_CASE("checks that fail are repeated with pauses and longer limits") {
+    store_schedule_options const options;
+    auto schedule = copied_schedule();
+    auto now = start + options.max_copy_age;
+    auto timeout = options.check_timeout;
+    int calls = 0;
+    for (; now < start + 20s; now += 50ms) {
+        auto const call = schedule.next(false, now);
+        if (!call)
+            continue;
+        ++calls;
+        CHECK(call->timeout >= timeout);
+        timeout = call->timeout;
+        schedule.on_failure(call->kind, now);
+    }
+    CHECK(timeout == options.list_timeout);
+    CHECK(calls <= 25);
+    CHECK(schedule.in_trouble());
+    schedule.on_answer(store_call::check, false, now);
+    CHECK_FALSE(schedule.in_trouble());
+}
+
+// Guards against a sum of stages above the time in which a configuration has
+// to be in force.
+TEST_CASE("the stages from a change to its last daemon fit into 2 s") {
+    store_schedule_options const options;
+    constexpr std::chrono::milliseconds limit{2'000};
+    constexpr std::chrono::milliseconds ticks_and_late_turns{250};
+    constexpr std::chrono::milliseconds call_and_datagram{100};
+    // A confirmation may be lost, and so may the first call.
+    CHECK(options.max_copy_age + max_check_delay + options.check_timeout +
+              ticks_and_late_turns + call_and_datagram <=
+          limit);
+    // Followers confirm the copies before others ask themselves.
+    CHECK(options.watch_wait + ticks_and_late_turns < options.max_copy_age);
+}
--- a/src/yuccabeam/gateway/store_spread_test.cpp
+++ b/src/yuccabeam/gateway/store_spread_test.cpp
@@ -99,6 +99,7 @@
         time_point next_far{};
         std::optional<time_point> behind_since = {};
         bool pulling = false;
+        bool told_trouble = false;
     };
 
     struct event {
@@ -115,11 +116,18 @@
                 place,
                 address,
                 peer_table({{address}, {std::to_string(domain)}, domains}),
-                store_schedule(),
+                schedule_of(d),
                 0,
                 start + drawn(tick_period)};
     }
 
+    static store_schedule schedule_of(std::size_t d) {
+        store_schedule_options options;
+        options.check_delay =
+            max_check_delay * static_cast<int>(d) / static_cast<int>(daemons);
+        return store_schedule(options);
+    }
+
     duration drawn(duration most) {
         return step * static_cast<int>(random_() % (most / step + 1));
     }
@@ -166,7 +174,8 @@
         if (auto const plan = node.schedule.next(should, now_))
             call(node, *plan);
         catch_up(node);
-        if (now_ >= node.next_heartbeat)
+        if (now_ >= node.next_heartbeat ||
+            node.schedule.in_trouble() != node.told_trouble)
             send_heartbeats(node, now_ >= node.next_far);
     }
 
@@ -204,6 +213,8 @@
         take(node, stored());
         if (news && !first)
             pass_on(node);
+        if (!first)
+            send_heartbeats(node, false);
     }
 
     // --- peers ---------------------------------------------------------------
@@ -235,14 +246,17 @@
         message.store_revision = from.revision;
         message.watching = from.schedule.watching();
         message.store_trouble = from.schedule.in_trouble();
+        from.told_trouble = message.store_trouble;
+        auto const confirmed = now_ - from.schedule.copy_age(now_);
         for (auto& to : nodes_)
             if (far || to.domain == from.domain)
-                send(to, [this, &to, message] {
+                send(to, [this, &to, message, confirmed] {
                     to.table.on_heartbeat(message, now_);
+                    if (to.revision >= message.store_revision)
+                        to.schedule.on_confirmed(confirmed + link_delay);
                 });
         heartbeat_periods const periods;
-        from.next_heartbeat =
-            now_ + (message.watching ? periods.watcher : periods.near);
+        from.next_heartbeat = now_ + periods.near;
         if (far)
             from.next_far = now_ + periods.far;
     }
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -34,7 +34,15 @@
 }
 
 std::string_view to_string(store_call call) {
-    return call == store_call::list ? "list" : "watch";
+    switch (call) {
+    case store_call::list:
+        return "list";
+    case store_call::watch:
+        return "watch";
+    case store_call::check:
+        return "check";
+    }
+    return "unknown";
 }
 
 } // namespace
@@ -109,7 +117,13 @@
 
 void store_sync::watch(planned_call const& plan) {
     auto const after = mirror_.revision();
-    call(format_.watch("", after, plan.wait), plan.timeout,
+    auto request = format_.watch("", after, plan.wait);
+    // A kept connection may be the one that went silent.
+    if (plan.kind == store_call::check) {
+        ++counters_.checks;
+        request.reuse = false;
+    }
+    call(std::move(request), plan.timeout,
          [this, plan, after](store_status status, client_result response) {
              on_watch(plan, status, response, after);
          });
@@ -130,11 +144,18 @@
         return;
     }
     bool const news = !changes->events.empty();
+    if (plan.kind == store_call::check)
+        log_.write("store_checked",
+                   {{"copy_age_ms",
+                     std::to_string(to_milliseconds(copy_age(boot_now())))},
+                    {"after", std::to_string(after)},
+                    {"revision", std::to_string(changes->revision)}});
     succeed(plan, news);
     changes->base = after;
     mirror_.apply(*changes);
     if (news)
         callbacks_.changed(*changes, true);
+    callbacks_.confirmed();
 }
 
 void store_sync::succeed(planned_call const& plan, bool news) {
@@ -167,6 +188,11 @@
     return true;
 }
 
+void store_sync::on_confirmed(std::uint64_t revision, time_point at) {
+    if (revision <= mirror_.revision())
+        schedule_.on_confirmed(at);
+}
+
 void store_sync::pull(std::string const& control_address, time_point now) {
     if (pulling_ || now < next_pull_)
         return;
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -49,13 +49,16 @@
 
 struct fixture {
     asio::io_context context;
+    asio::steady_timer ticker{context};
     scripted_peer store;
     http1::client client{context.get_executor()};
     store_format format = plain_format();
     telemetry::event_log log{{"vm", open("/dev/null", O_WRONLY)}};
     std::shared_ptr<store_sync> sync;
 
-    explicit fixture(std::vector<scripted_peer::reply> replies)
+    explicit fixture(
+        std::vector<scripted_peer::reply> replies,
+        std::chrono::milliseconds max_copy_age = std::chrono::hours(1))
         : store(context, std::move(replies)) {
         store_sync_options options;
         options.address = store.address();
@@ -63,9 +66,11 @@
         // Long enough that a scripted answer never misses it on a busy VM.
         options.schedule.watch_slack = std::chrono::milliseconds(1'000);
         options.schedule.batch_pause = {};
+        options.schedule.max_copy_age = max_copy_age;
         store_sync_callbacks callbacks;
         callbacks.changed = [](auto const&, bool) {};
         callbacks.should_watch = [] { return true; };
+        callbacks.confirmed = [] {};
         callbacks.peers_learnt = [](auto const&) {};
         sync = std::make_shared<store_sync>(context.get_executor(), client,
                                             format, options, callbacks, log);
@@ -73,7 +78,14 @@
         sync->withdraw();
     }
 
+    // Wakes the loop as the daemon's ticker does.
+    void wake() {
+        ticker.expires_after(std::chrono::milliseconds(10));
+        ticker.async_wait([this](std::error_code) { wake(); });
+    }
+
     bool reaches(std::uint64_t revision) {
+        wake();
         return http1::run_until(context, [&] {
             sync->tick(adapters::boot_now());
             return sync->mirror().revision() >= revision;
@@ -92,6 +104,16 @@
     CHECK_FALSE(f.sync->in_trouble());
 }
 
+// Guards against news that wait for the end of a watch which hangs.
+TEST_CASE("a copy that is no longer confirmed is checked on a connection of "
+          "its own while a watch is silent") {
+    fixture f({{body("3 a")}, {""}, {body("5 b")}},
+              std::chrono::milliseconds(100));
+    REQUIRE(f.reaches(5));
+    CHECK(f.sync->counters().checks == 1);
+    CHECK(f.sync->counters().failures == 0);
+}
+
 TEST_CASE("a silent store connection is noticed in time for a configuration "
           "to be in force within 2 s") {
     store_schedule_options const options;
