Count a vanished target's hold from when it was last known to be listed

Cause: a target whose entry vanishes is used for 0.8 s more for lack of others, counted from the news. The news may be 1.75 s old (2.5 s before the last change), so the sum went over the 2 s in which a leaving target has to be left alone.

Change: the store's copy tells after which moment the changes were made (its last confirmation), and the hold ends 1.7 s after that at the latest. With news that come at once nothing changes. Ruled out for targets that say that they leave: these are not used from the moment of the news.

The rows of the test for news that are 1.4 s old and older fail without the change.

--- a/include/yuccabeam/gateway/store_schedule.hpp
+++ b/include/yuccabeam/gateway/store_schedule.hpp
@@ -70,6 +70,7 @@
     void on_copy();
     /// The copy was current at `at`.
     void on_confirmed(time_point at);
+    time_point confirmed_at() const { return confirmed_at_; }
     /// Time since the copy was last known to be current.
     duration copy_age(time_point now) const { return now - confirmed_at_; }
 
--- a/include/yuccabeam/gateway/store_sync.hpp
+++ b/include/yuccabeam/gateway/store_sync.hpp
@@ -71,6 +71,8 @@
     bool watching() const { return schedule_.watching(); }
     /// Time since the copy was last known to be current.
     duration copy_age(time_point now) const { return schedule_.copy_age(now); }
+    /// The changes of the last callback were made after this moment.
+    time_point changed_after() const { return changed_after_; }
     /// The last call to the store failed.
     bool in_trouble() const { return schedule_.in_trouble(); }
     store_sync_counters const& counters() const { return counters_; }
@@ -103,6 +105,7 @@
     store_sync_counters counters_;
 
     store_schedule schedule_;
+    time_point changed_after_{};
     std::vector<mirror::stored_item> listed_;
     std::uint64_t listing_revision_ = 0;
 
--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -44,6 +44,10 @@
     /// for lack of others only. The rest covers news that come late, as the
     /// limit runs from the change in the store.
     double vanished_share = 0.4;
+    /// Part of that limit after which such a target is not used, counted from
+    /// the last moment at which its entry is known to have been there. The
+    /// rest covers a late turn and the way of a request.
+    double vanished_latest_share = 0.85;
     /// The same when an outage of the store takes many entries of a service
     /// at once, most of which come back; until then those targets are used as
     /// before.
@@ -162,11 +166,12 @@
 
     /// Takes the list of targets that announce themselves now. A target that
     /// is missing from it stays for a while as a last resort, or as before
-    /// when an outage of the store may be the reason.
+    /// when an outage of the store may be the reason. The list may have changed
+    /// at any time since `changed_after`.
     /// Returns what is new.
     std::vector<target_change>
     replace(std::vector<discovered_target> const& targets, bool after_outage,
-            time_point now);
+            time_point now, std::optional<time_point> changed_after = {});
     /// Drops vanished targets whose hold has ended.
     void expire(time_point now);
 
@@ -236,6 +241,7 @@
         std::optional<time_point> vanished_at;
         bool address_taken = false;
         bool vanish_trusted = true; ///< the store was sound meanwhile
+        time_point held_until{};    ///< used for lack of others till then
 
         bool usable() const;
         bool unreachable(time_point now) const;
@@ -264,7 +270,8 @@
     bool listed(record const& entry) const;
     std::vector<record*> newly_missing();
     std::set<service_id> services_with_mass_loss() const;
-    duration vanish_hold(record const& entry) const;
+    time_point vanish_hold(bool trusted, time_point changed_after,
+                           time_point now) const;
     double probability(record const& entry, time_point now) const;
     bool suspected(record const& entry, time_point now) const;
     void weigh(record& entry, double factor, time_point now);
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -195,8 +195,8 @@
         counters.count("target_entries_rejected",
                        static_cast<double>(rejected));
     bool const after_outage = outage_seen && now - *outage_seen < outage_memory;
-    for (auto const& change :
-         book.replace(target_list.targets(), after_outage, now))
+    for (auto const& change : book.replace(target_list.targets(), after_outage,
+                                           now, store->changed_after()))
         log.write(
             "target_changed",
             {{"target", change.target.value},
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -162,6 +162,7 @@
     if (in_trouble())
         log_.write("store_regained",
                    {{"revision", std::to_string(mirror_.revision())}});
+    changed_after_ = schedule_.confirmed_at();
     schedule_.on_answer(plan.kind, news, boot_now());
 }
 
@@ -184,6 +185,7 @@
     if (!mirror_.apply(changes))
         return false;
     schedule_.on_copy();
+    changed_after_ = schedule_.confirmed_at();
     callbacks_.changed(changes, false);
     return true;
 }
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -87,7 +87,7 @@
     for (auto& [id, entry] : records_) {
         if (entry.info.target.service != wanted.service || !entry.usable())
             continue;
-        if (entry.vanished_at && now - *entry.vanished_at >= vanish_hold(entry))
+        if (entry.vanished_at && now >= entry.held_until)
             continue;
         if (std::ranges::find(wanted.exclude, id) == wanted.exclude.end())
             out.push_back(&entry);
--- a/src/yuccabeam/placement/target_listing.cpp
+++ b/src/yuccabeam/placement/target_listing.cpp
@@ -1,6 +1,7 @@
 // What a target book does with the lists of targets that it is given.
 #include "yuccabeam/placement/target_book.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -8,7 +9,8 @@
 
 std::vector<target_change>
 target_book::replace(std::vector<discovered_target> const& targets,
-                     bool after_outage, time_point now) {
+                     bool after_outage, time_point now,
+                     std::optional<time_point> changed_after) {
     std::vector<target_change> changes;
     ++listing_;
     for (auto const& info : targets) {
@@ -23,6 +25,8 @@
     for (auto* entry : missing) {
         entry->vanished_at = now;
         entry->vanish_trusted = !lapsed.contains(entry->info.target.service);
+        entry->held_until = vanish_hold(entry->vanish_trusted,
+                                        changed_after.value_or(now), now);
         changes.push_back({entry->info.target.id, entry->info.target.service,
                            target_change_kind::vanished});
     }
@@ -90,18 +94,22 @@
     return std::nullopt;
 }
 
-duration target_book::vanish_hold(record const& entry) const {
-    auto const share =
-        entry.vanish_trusted ? options_.vanished_share : options_.lapsed_share;
-    return from_seconds(to_seconds(options_.leaving_limit) * share);
+time_point target_book::vanish_hold(bool trusted, time_point changed_after,
+                                    time_point now) const {
+    auto const part = [&](double share) {
+        return from_seconds(to_seconds(options_.leaving_limit) * share);
+    };
+    if (!trusted)
+        return now + part(options_.lapsed_share);
+    return std::min(now + part(options_.vanished_share),
+                    changed_after + part(options_.vanished_latest_share));
 }
 
 void target_book::expire(time_point now) {
     std::erase_if(records_, [&](auto const& named) {
         auto const& entry = named.second;
         return entry.vanished_at &&
-               (entry.info.leaving ||
-                now - *entry.vanished_at >= vanish_hold(entry));
+               (entry.info.leaving || now >= entry.held_until);
     });
 }
 
--- a/src/yuccabeam/placement/target_listing_test.cpp
+++ b/src/yuccabeam/placement/target_listing_test.cpp
@@ -132,3 +132,38 @@
     CHECK(book.belief_of({"x1"}, start + 1s));
     CHECK_FALSE(book.belief_of({"y0"}, start + 1s));
 }
+
+// Guards against a hold that is added to news which come late.
+TEST_CASE("a vanished target is used no longer than its limit after it was "
+          "last known to be listed") {
+    struct row {
+        char const* guards;
+        duration listed_until; ///< before the news of its end
+        duration used_for;     ///< after them
+    };
+    book_options const options;
+    row const rows[] = {
+        {"news at once", 0ms, 800ms},
+        {"news with the usual age of a copy", 600ms, 800ms},
+        {"news after a check of the copy", 1'400ms, 300ms},
+        {"news at the end of the limit", 1'700ms, 0ms},
+        {"news after an outage", 8s, 0ms},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(std::string(row.guards));
+        target_book book({"a"}, 1);
+        book.replace({target_of("x", 0)}, false, start);
+        auto const news = start + 10s;
+        book.replace({}, false, news, news - row.listed_until);
+        choice_request wanted;
+        wanted.service = {"x"};
+        wanted.time_left = wanted.objective_left = 2s;
+        for (duration later = 0ms; later < 3s; later += 50ms) {
+            CAPTURE(to_milliseconds(later));
+            CHECK(book.has_choice(wanted, news + later) ==
+                  (later < row.used_for));
+            if (later < row.used_for)
+                CHECK(row.listed_until + later < options.leaving_limit);
+        }
+    }
+}
