--- a/src/yuccabeam/bench/placement_world.cpp
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -1,5 +1,7 @@
 #include "placement_world.hpp"
 
+#include "yuccabeam/values/virtual_time.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <list>
@@ -113,13 +115,7 @@
         next_request(true);
         next_request(false);
         next_check();
-        auto const end = time_point{} + scenario_.length;
-        while (!events_.empty() && events_.top().when < end) {
-            auto const event = events_.top();
-            events_.pop();
-            now_ = event.when;
-            event.run();
-        }
+        time_.run_until(time_point{} + scenario_.length);
         auto const asked = std::max<double>(
             1, static_cast<double>(result_.non_idempotent.asked +
                                    result_.idempotent.asked));
@@ -131,18 +127,8 @@
     }
 
 private:
-    struct event {
-        time_point when;
-        std::uint64_t sequence;
-        std::function<void()> run;
-        bool operator<(event const& other) const {
-            return std::pair(other.when, other.sequence) <
-                   std::pair(when, sequence);
-        }
-    };
-
     void after(duration delay, std::function<void()> run) {
-        events_.push({now_ + delay, sequence_++, std::move(run)});
+        time_.after(delay, std::move(run));
     }
 
     double uniform() {
@@ -489,9 +475,8 @@
     placement_scenario const& scenario_;
     placement::course_options course_options_;
     std::mt19937_64 random_;
-    std::priority_queue<event> events_;
-    std::uint64_t sequence_ = 0;
-    time_point now_{};
+    virtual_time time_;
+    time_point const& now_ = time_.now();
     std::vector<server> servers_;
     std::vector<entry_vm> daemons_;
     std::map<request const*,
--- a/src/yuccabeam/bench/placement_world.hpp
+++ b/src/yuccabeam/bench/placement_world.hpp
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
--- a/src/yuccabeam/gateway/store_spread_test.cpp
+++ b/src/yuccabeam/gateway/store_spread_test.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/gateway/peer_link.hpp"
 #include "yuccabeam/gateway/peer_table.hpp"
 #include "yuccabeam/gateway/store_schedule.hpp"
+#include "yuccabeam/values/virtual_time.hpp"
 
 #include <doctest/doctest.h>
 #include <functional>
@@ -72,8 +73,7 @@
 
     /// Time from the change until the last daemon that runs has it.
     duration run() {
-        for (; now_ < change_ + 5s; now_ += step) {
-            deliver();
+        for (; now_ < change_ + 5s; time_.run_until(now_ + step)) {
             for (auto& node : nodes_)
                 if (runs(node) && now_ >= node.next_tick)
                     tick(node);
@@ -102,11 +102,6 @@
         bool told_trouble = false;
     };
 
-    struct event {
-        time_point due;
-        std::function<void()> run;
-    };
-
     node make(std::size_t d) {
         auto const domain = d % domains;
         auto const place = d / domains;
@@ -153,19 +148,7 @@
     std::uint64_t stored() const { return now_ >= change_ ? changed : before; }
 
     void after(duration delay, std::function<void()> run) {
-        events_.push_back({now_ + delay, std::move(run)});
-    }
-
-    void deliver() {
-        std::vector<event> due;
-        std::erase_if(events_, [&](auto const& event) {
-            if (event.due > now_)
-                return false;
-            due.push_back(event);
-            return true;
-        });
-        for (auto const& event : due)
-            event.run();
+        time_.after(delay, std::move(run));
     }
 
     void tick(node& node) {
@@ -282,9 +265,9 @@
     time_point silent_from_;
     time_point change_;
     std::mt19937 random_;
-    time_point now_ = start;
+    virtual_time time_{start};
+    time_point const& now_ = time_.now();
     std::vector<node> nodes_;
-    std::vector<event> events_;
 };
 
 } // namespace
--- a/src/yuccabeam/placement/repeat_budget_test.cpp
+++ b/src/yuccabeam/placement/repeat_budget_test.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/placement/repeat_budget.hpp"
 
 #include "yuccabeam/placement/fleet_budget.hpp"
+#include "yuccabeam/values/virtual_time.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -129,9 +130,8 @@
     }
 
     play_result run() {
-        for (; now_ < start + length; now_ += step) {
+        for (; now_ < start + length; time_.run_until(now_ + step)) {
             restart();
-            deliver();
             for (std::size_t d = 0; d < fleet_.size(); ++d)
                 if (runs(d))
                     tick(d);
@@ -142,11 +142,6 @@
     }
 
 private:
-    struct message {
-        time_point due;
-        std::function<void()> deliver;
-    };
-
     double share() { return std::uniform_real_distribution<>(0, 1)(random_); }
     duration at() const { return now_ - start; }
 
@@ -194,24 +189,11 @@
     void send(std::size_t from, std::size_t to, std::function<void()> run) {
         if (apart(from, to) || share() < case_.loss)
             return;
-        auto const due =
-            now_ + from_seconds(share() * to_seconds(case_.delay_max));
-        messages_.push_back({due, run});
+        auto const delay = from_seconds(share() * to_seconds(case_.delay_max));
+        time_.after(delay, run);
         // A datagram may come twice.
         if (share() < 0.05)
-            messages_.push_back({due + 20ms, run});
-    }
-
-    void deliver() {
-        std::vector<message> due;
-        std::erase_if(messages_, [&](auto const& one) {
-            if (one.due > now_)
-                return false;
-            due.push_back(one);
-            return true;
-        });
-        for (auto const& one : due)
-            one.deliver();
+            time_.after(delay + 20ms, std::move(run));
     }
 
     void tick(std::size_t d) {
@@ -267,9 +249,9 @@
     fleet_case const& case_;
     repeat_budget_options options_;
     std::mt19937 random_;
-    time_point now_ = start;
+    virtual_time time_{start};
+    time_point const& now_ = time_.now();
     std::vector<std::unique_ptr<fleet_budget>> fleet_;
-    std::vector<message> messages_;
     std::vector<time_point> requests_;
     std::vector<time_point> repeats_;
     play_result result_;
