Send no heartbeat after a daemon's goodbye

Cause: a daemon that stops still follows the store until it ends, and since each answer of the store is told at once, its heartbeat came after its goodbye; the others took it for a live daemon again for up to seven seconds. Found while reading the change; callers saw nothing of it. A reply to a daemon that starts could do the same before.

Change: `peer_link` sends no heartbeat after the goodbye. The test plays two links on loopback and fails without the change (one daemon known instead of none).

--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -63,6 +63,8 @@
 }
 
 void peer_link::send_heartbeats(time_point now, bool far) {
+    if (left_)
+        return;
     auto const message = own_heartbeat(false);
     auto const bytes = encode(message);
     for (auto const& address : table_.addresses())
@@ -97,6 +99,7 @@
     auto message = own_heartbeat(false);
     message.leaving = true;
     send_all(message);
+    left_ = true;
 }
 
 void peer_link::tell(placement::target_notice const& notice) {
@@ -171,7 +174,7 @@
     if (message.leaving)
         return;
     callbacks_.on_heartbeat(message, is_new);
-    if (message.wants_reply)
+    if (message.wants_reply && !left_)
         transport_->send(encode(own_heartbeat(false)), message.sender.value);
 }
 
--- /dev/null
+++ b/src/yuccabeam/gateway/peer_link_test.cpp
@@ -0,0 +1,81 @@
+#include "yuccabeam/gateway/peer_link.hpp"
+
+#include <asio.hpp>
+#include <doctest/doctest.h>
+#include <memory>
+
+using namespace yuccabeam;
+using namespace yuccabeam::gateway;
+
+namespace {
+
+constexpr time_point start{std::chrono::seconds(1'000)};
+
+std::string address_of(asio::ip::udp::socket const& socket) {
+    return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+}
+
+peer_link_options options_for(std::string address) {
+    peer_link_options out;
+    out.address = std::move(address);
+    return out;
+}
+
+struct link_pair {
+    asio::io_context context;
+    int beliefs = 0; ///< that the second one heard
+    std::unique_ptr<peer_link> first;
+    std::unique_ptr<peer_link> second;
+
+    link_pair() {
+        asio::ip::udp::endpoint const any(asio::ip::address_v4::loopback(), 0);
+        std::string addresses[2];
+        {
+            asio::ip::udp::socket one(context, any);
+            asio::ip::udp::socket other(context, any);
+            addresses[0] = address_of(one);
+            addresses[1] = address_of(other);
+        }
+        first =
+            std::make_unique<peer_link>(options_for(addresses[0]), callbacks());
+        second =
+            std::make_unique<peer_link>(options_for(addresses[1]), callbacks());
+        REQUIRE(first->open(context));
+        REQUIRE(second->open(context));
+        first->table().learn(addresses[1], start);
+    }
+
+    peer_link_callbacks callbacks() {
+        peer_link_callbacks out;
+        out.fill = [](heartbeat&) {};
+        out.on_heartbeat = [](heartbeat const&, bool) {};
+        out.on_belief = [this](belief_message const&) { ++beliefs; };
+        out.on_malformed = [] { FAIL("malformed datagram"); };
+        return out;
+    }
+
+    // Datagrams on loopback keep their order, so what was sent before has
+    // been heard then.
+    void await_belief() {
+        auto const before = beliefs;
+        first->tell({{"t"}, 1, placement::notice_kind::failed});
+        context.restart();
+        while (beliefs == before)
+            context.run_one();
+    }
+};
+
+} // namespace
+
+// Guards against a daemon that ends and counts as live again.
+TEST_CASE("no heartbeat follows a daemon's goodbye") {
+    link_pair links;
+    links.first->announce(start);
+    links.await_belief();
+    REQUIRE(links.second->table().known_count() == 1);
+    links.first->say_goodbye(start);
+    links.first->announce_near(start);
+    links.first->announce(start);
+    links.await_belief();
+    CHECK(links.second->table().known_count() == 0);
+}
