--- a/include/yuccabeam/gateway/exchange.hpp
+++ b/include/yuccabeam/gateway/exchange.hpp
@@ -25,11 +25,12 @@
     gateway::counters& counters;
     header_names const& headers;
     std::mt19937_64& random;
-    /// Budget of a service for repeats.
+    /// This daemon's budget for repeats at a service.
     std::function<placement::repeat_budget*(service_id const&)> budget;
-    /// True when the fleet allows one more repeat at the service.
+    /// True when the budget allows one more repeat at the service.
     std::function<bool(service_id const&, time_point)> may_repeat;
-    /// Tells all daemons about a target, a repeat at the service, or both.
+    /// Tells all daemons about a target; after a repeat, has the service's
+    /// budget look for credit.
     std::function<void(std::optional<placement::target_notice> const&,
                        service_id const&, bool repeated)>
         tell;
--- a/include/yuccabeam/placement/request_course.hpp
+++ b/include/yuccabeam/placement/request_course.hpp
@@ -41,7 +41,7 @@
 struct course_parts {
     target_book& book;
     repeat_budget& budget;
-    /// True when the fleet allows one more repeat at the service.
+    /// True when the budget allows one more repeat at the service.
     std::function<bool(time_point)> may_repeat;
 };
 
@@ -60,9 +60,9 @@
     bool running = true;
 };
 
-/// What all other daemons have to know.
+/// What others have to know.
 struct course_news {
-    std::optional<target_notice> notice;
+    std::optional<target_notice> notice; ///< for all other daemons
     bool repeated = false; ///< the request goes to another target
 };
 
