--- a/include/yuccabeam/placement/request_course.hpp
+++ b/include/yuccabeam/placement/request_course.hpp
@@ -63,7 +63,7 @@
 /// What others have to know.
 struct course_news {
     std::optional<target_notice> notice; ///< for all other daemons
-    bool repeated = false; ///< the request goes to another target
+    bool repeated = false;               ///< the request goes to another target
 };
 
 enum class course_action : std::uint8_t {
