Send an idempotent request to the same target again when no other can be reached

Cause: a request excluded each target that it had tried. When the others could not be reached, a repeat was paid, went through failed connections only and ended.

Change: after a reset, a close of a kept connection or a broken answer the target stays a choice for that request, behind all targets that can be reached and before those that this daemon could not connect to. A full or slow target and an error of the target's own are not asked again; nor is any for a non-idempotent request. The limits on attempts and repeats stay.

Ruled out: telling peers that a target can't be reached.

The test failed before in four of its ten rows (one target left: reset, closed kept connection, broken answer; the other one can't be reached).

--- a/include/yuccabeam/placement/outcome.hpp
+++ b/include/yuccabeam/placement/outcome.hpp
@@ -25,20 +25,24 @@
 /// True when the target may have run the request.
 bool may_have_run(attempt_outcome outcome);
 
+/// True when the same target may well answer an idempotent request that is
+/// sent again: a target in a gray failure fails only a part of its requests.
+bool may_ask_again(attempt_outcome outcome);
+
 /// What is known when an attempt has ended.
 struct attempt_facts {
     attempt_outcome outcome = attempt_outcome::success;
     bool idempotent = false;
     std::uint32_t attempts_sent = 1; ///< this one included
     std::uint32_t max_attempts = 1;
-    bool time_left = true;         ///< enough for another attempt
-    bool budget_left = true;       ///< for one more arrival in the fleet
-    bool other_target_left = true; ///< one that this request has not tried
+    bool time_left = true;   ///< enough for another attempt
+    bool budget_left = true; ///< for one more arrival in the fleet
+    bool target_left = true; ///< one that may get this request next
 };
 
 enum class next_step : std::uint8_t {
     deliver,   ///< the target's answer is the request's answer
-    try_other, ///< send it to another target
+    try_other, ///< send it to another target, or to the same one again
     refuse,    ///< answer that the request has not run
     fail       ///< answer that the outcome is unknown
 };
--- a/include/yuccabeam/placement/request_course.hpp
+++ b/include/yuccabeam/placement/request_course.hpp
@@ -142,7 +142,8 @@
     time_point objective_end_{};
     std::vector<course_attempt> attempts_;
     std::vector<target_id> tried_;
-    std::uint32_t sent_ = 0; ///< attempts that reached their target
+    std::vector<target_id> again_; ///< tried, and may be asked again
+    std::uint32_t sent_ = 0;       ///< attempts that reached their target
     bool ran_ = false;
     bool ended_ = false;
     bool checked_ = false;
--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -99,6 +99,9 @@
     duration time_left = std::chrono::hours(1);
     duration objective_left = std::chrono::hours(1);
     std::vector<target_id> exclude; ///< already tried
+    /// Those of them that failed in a way that the next try may not share. They
+    /// are chosen when no other target can be reached.
+    std::vector<target_id> again;
 };
 
 /// What was last learnt of a target, and by whom.
@@ -117,6 +120,7 @@
     bool suspected = false; ///< chosen for a trial or for lack of a better one
     bool trial = false;     ///< the suspected target is put to the test
     bool queued = false;    ///< all its slots are in use
+    bool again = false;     ///< the request has failed there before
     std::optional<target_notice> notice;
 };
 
--- a/src/yuccabeam/placement/outcome.cpp
+++ b/src/yuccabeam/placement/outcome.cpp
@@ -28,6 +28,12 @@
     return "unknown";
 }
 
+bool may_ask_again(attempt_outcome outcome) {
+    return outcome == attempt_outcome::reset ||
+           outcome == attempt_outcome::kept_reset ||
+           outcome == attempt_outcome::broken_answer;
+}
+
 bool may_have_run(attempt_outcome outcome) {
     return outcome != attempt_outcome::not_run &&
            outcome != attempt_outcome::wrong_target &&
@@ -51,7 +57,7 @@
 namespace {
 
 bool may_try_other(attempt_facts const& facts) {
-    if (!facts.time_left || !facts.other_target_left)
+    if (!facts.time_left || !facts.target_left)
         return false;
     // Nothing has arrived anywhere, so neither limit is touched.
     if (facts.outcome == attempt_outcome::connect_failed)
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -39,6 +39,7 @@
                              ? out.time_left
                              : objective_end_ - now;
     out.exclude = tried_;
+    out.again = again_;
     return out;
 }
 
@@ -77,7 +78,8 @@
     attempt.risk = chosen.risk;
     attempt.evidence = chosen.evidence;
     attempt.queued = chosen.queued;
-    attempt.may_reuse = request_.idempotent && !attempt.suspected;
+    attempt.may_reuse =
+        request_.idempotent && !attempt.suspected && !chosen.again;
     attempt.started = now;
     step.action = course_action::send;
     step.attempt = attempts_.size();
@@ -190,6 +192,8 @@
         --sent_;
     else
         ran_ = ran_ || placement::may_have_run(outcome);
+    if (request_.idempotent && may_ask_again(outcome))
+        again_.push_back(done.to.id);
     return notice;
 }
 
@@ -202,7 +206,7 @@
     facts.max_attempts = request_.max_attempts;
     facts.time_left = enough_time(now);
     facts.budget_left = parts_.may_repeat(now);
-    facts.other_target_left = parts_.book.has_choice(wanted(now), now);
+    facts.target_left = parts_.book.has_choice(wanted(now), now);
     return after_attempt(facts, ran_);
 }
 
--- a/src/yuccabeam/placement/request_course_test.cpp
+++ b/src/yuccabeam/placement/request_course_test.cpp
@@ -160,6 +160,64 @@
     }
 }
 
+// Guards against a request that fails at once in a service with one target
+// left, and against repeats that are paid for targets that can't be reached.
+TEST_CASE("an idempotent request goes to the same target again when no other "
+          "can be reached") {
+    enum class other { none, good, unreachable };
+    struct again_case {
+        char const* what;
+        other second;
+        bool idempotent;
+        std::uint32_t max_attempts;
+        attempt_outcome outcome;
+        char const* next; ///< target of the second attempt, or none
+    };
+    again_case const rows[] = {
+        {"one target", other::none, true, 2, attempt_outcome::reset, "t0"},
+        {"a kept connection was closed", other::none, true, 2,
+         attempt_outcome::kept_reset, "t0"},
+        {"a broken answer", other::none, true, 2,
+         attempt_outcome::broken_answer, "t0"},
+        {"the other one can't be reached", other::unreachable, true, 2,
+         attempt_outcome::reset, "t0"},
+        {"another target comes first", other::good, true, 2,
+         attempt_outcome::reset, "t1"},
+        {"the route allows one attempt", other::none, true, 1,
+         attempt_outcome::reset, ""},
+        {"it must not run twice", other::none, false, 2, attempt_outcome::reset,
+         ""},
+        {"the target is full", other::none, true, 2, attempt_outcome::not_run,
+         ""},
+        {"it fails wherever it runs", other::none, true, 2,
+         attempt_outcome::target_error, ""},
+        {"the target is too slow", other::none, true, 2,
+         attempt_outcome::timed_out, ""},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.what);
+        fixture f(row.second == other::none ? 1 : 2);
+        if (row.second == other::unreachable)
+            f.book.on_end({"t1"}, attempt_outcome::connect_failed, start,
+                          start);
+        else if (row.second == other::good)
+            // So that the first attempt goes to the other one.
+            f.book.on_peer_activity({"peer"}, {{"t1"}, 0, 3}, start);
+        auto course = f.course(row.idempotent, row.max_attempts);
+        auto const first = course.start(start);
+        REQUIRE(course.attempts()[0].to.id.value == "t0");
+        auto const second =
+            course.on_attempt_end(first.attempt, row.outcome, start + 10ms);
+        std::string const next =
+            second.action == course_action::send
+                ? course.attempts()[second.attempt].to.id.value
+                : "";
+        CHECK(next == row.next);
+        if (next == "t0")
+            CHECK_FALSE(course.attempts()[second.attempt].may_reuse);
+    }
+}
+
 TEST_CASE("an idempotent request that takes long goes to a second target "
           "once, and the first answer counts") {
     fixture f;
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -13,7 +13,12 @@
 constexpr int tier_usual = 1;
 constexpr int tier_full = 2;
 constexpr int tier_vanished = 3;
-constexpr int tier_unreachable = 4;
+constexpr int tier_again = 4;
+constexpr int tier_unreachable = 5;
+
+bool contains(std::vector<target_id> const& ids, target_id const& id) {
+    return std::ranges::find(ids, id) != ids.end();
+}
 
 bool is_failure(attempt_outcome outcome) {
     return outcome == attempt_outcome::reset ||
@@ -89,7 +94,7 @@
             continue;
         if (entry.vanished_at && now >= entry.held_until)
             continue;
-        if (std::ranges::find(wanted.exclude, id) == wanted.exclude.end())
+        if (!contains(wanted.exclude, id) || contains(wanted.again, id))
             out.push_back(&entry);
     }
     return out;
@@ -136,6 +141,8 @@
                          time_point now) const {
     if (entry.unreachable(now))
         return tier_unreachable;
+    if (contains(wanted.again, entry.info.target.id))
+        return tier_again;
     // Most trials fail; the request then needs its second target.
     if (wanted.repeatable && wanted.exclude.empty() &&
         now >= entry.next_trial && suspected(entry, now))
@@ -190,6 +197,7 @@
     out.evidence = entry.evidence;
     out.suspected = suspected(entry, now);
     out.trial = picked.tier == tier_trial;
+    out.again = picked.tier == tier_again;
     out.queued = in_flight(entry, now) >= entry.info.target.slots;
     if (out.trial) {
         entry.next_trial = now + options_.trial_interval;
