Return the credit of a repeat that could not be sent

A repeat was paid when it was decided. When every target that was left then refused the connection, nothing arrived anywhere and the credit was lost, so that a service with few targets spent its allowance on nothing.

The course remembers the attempt that was paid; when that attempt was not sent and no other follows, the budget gets the repeat back, within the bucket's limit. An attempt that is still connecting when the request ends counts as sent. The sum of the buckets stays what it was: only what has reached no target comes back.

--- a/include/yuccabeam/placement/repeat_budget.hpp
+++ b/include/yuccabeam/placement/repeat_budget.hpp
@@ -62,6 +62,8 @@
     /// True when one more repeat is allowed.
     bool allows(time_point now) const;
     void on_repeat(time_point now);
+    /// A repeat that was counted has not been sent.
+    void on_unsent_repeat(time_point now);
 
     /// Requests of this daemon in the last window.
     double requests(time_point now) const;
--- a/include/yuccabeam/placement/request_course.hpp
+++ b/include/yuccabeam/placement/request_course.hpp
@@ -125,6 +125,7 @@
     bool enough_time(time_point now) const;
     course_step try_next(time_point now, course_step step);
     course_step send(choice const& chosen, time_point now, course_step step);
+    course_step send_repeat(time_point now, course_step step);
     course_step end(std::string_view reason, course_step step);
     course_step deliver(std::size_t attempt, course_step step);
     course_step hedge(time_point now);
@@ -143,7 +144,9 @@
     std::vector<course_attempt> attempts_;
     std::vector<target_id> tried_;
     std::vector<target_id> again_; ///< tried, and may be asked again
-    std::uint32_t sent_ = 0;       ///< attempts that reached their target
+    /// Attempt that was paid from the budget last.
+    std::optional<std::size_t> repeat_;
+    std::uint32_t sent_ = 0; ///< attempts that reached their target
     bool ran_ = false;
     bool ended_ = false;
     bool checked_ = false;
--- a/src/yuccabeam/placement/repeat_budget.cpp
+++ b/src/yuccabeam/placement/repeat_budget.cpp
@@ -104,6 +104,10 @@
     settled_ = std::max(0.0, settled_ - 1);
 }
 
+void repeat_budget::on_unsent_repeat(time_point now) {
+    earn(1, now);
+}
+
 // --- transfers ---------------------------------------------------------------
 
 double repeat_budget::to_spare(time_point now) const {
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -162,6 +162,9 @@
     bool const repeats = goes_on && reached;
     if (repeats)
         parts_.budget.on_repeat(now);
+    bool const unsent = !reached && repeat_ == attempt;
+    if (unsent && !goes_on)
+        parts_.budget.on_unsent_repeat(now);
     if (notice || repeats)
         step.news.push_back({notice, repeats});
 
@@ -171,6 +174,8 @@
     }
     if (outcome == attempt_outcome::target_error)
         fallback_ = attempt;
+    if (goes_on && (repeats || unsent))
+        return send_repeat(now, std::move(step));
     if (goes_on)
         return try_next(now, std::move(step));
     if (others)
@@ -180,6 +185,16 @@
     return end(to_string(outcome), std::move(step));
 }
 
+// The repeat is paid; the credit comes back when nothing can be sent.
+course_step request_course::send_repeat(time_point now, course_step step) {
+    auto out = try_next(now, std::move(step));
+    if (out.action == course_action::send)
+        repeat_ = out.attempt;
+    else
+        parts_.budget.on_unsent_repeat(now);
+    return out;
+}
+
 std::optional<target_notice>
 request_course::note_end(course_attempt const& done, attempt_outcome outcome,
                          time_point now, std::size_t answer_bytes) {
@@ -237,7 +252,9 @@
     parts_.budget.on_repeat(now);
     course_step step;
     step.news.push_back({std::nullopt, true});
-    return send(*second, now, std::move(step));
+    step = send(*second, now, std::move(step));
+    repeat_ = step.attempt;
+    return step;
 }
 
 course_step request_course::on_deadline(time_point now) {
--- a/src/yuccabeam/placement/request_course_test.cpp
+++ b/src/yuccabeam/placement/request_course_test.cpp
@@ -218,6 +218,36 @@
     }
 }
 
+// Guards against credit that is spent on repeats of which none arrives.
+TEST_CASE("a repeat that can't be sent costs nothing") {
+    repeat_budget budget({.fleet_slack = 10, .capacity = 10}, start - 1min,
+                         first_credit::full);
+    budget.on_fleet_size(1, start);
+    target_book book{{"a"}, 1};
+    std::vector<discovered_target> list;
+    for (auto const* id : {"t0", "t1"}) {
+        discovered_target target;
+        target.target = {{id}, {"svc"}, {"a"}, "x"};
+        list.push_back(target);
+    }
+    book.replace(list, false, start);
+    course_request request{{"svc"}, true, 2, 2s, start + 4s};
+    request_course course(request, {book, budget, [&](time_point now) {
+                                        return budget.allows(now);
+                                    }});
+    auto const first = course.start(start);
+    double const before = budget.credit(start);
+    // A target that is full isn't asked again.
+    auto const second =
+        course.on_attempt_end(first.attempt, attempt_outcome::not_run, start);
+    REQUIRE(second.action == course_action::send);
+    CHECK(budget.credit(start) == doctest::Approx(before - 1));
+    auto const end = course.on_attempt_end(
+        second.attempt, attempt_outcome::connect_failed, start);
+    CHECK(end.action == course_action::end);
+    CHECK(budget.credit(start) == doctest::Approx(before));
+}
+
 TEST_CASE("an idempotent request that takes long goes to a second target "
           "once, and the first answer counts") {
     fixture f;
