Say in the log what a failed attempt lacked for another one

The line attempt_failed said next=fail or refuse, but not whether time, attempts, credit for repeats or another target was missing. It now has `missing`, the daemon's `credit_percent`, the number of `others` that are left to choose and of those that are `unreachable`. `logs explain` says it in its first sentence, and yuccabeam_attempts_not_repeated_total counts it by service.

The conditions are decided where they were (missing_for_another is what may_try_other was); no decision changes.

--- a/include/yuccabeam/gateway/counters.hpp
+++ b/include/yuccabeam/gateway/counters.hpp
@@ -20,6 +20,8 @@
     /// One attempt at a target.
     void on_attempt(std::string_view service, std::string_view outcome,
                     double seconds);
+    /// One attempt that was not followed by another one, as `missing` names.
+    void on_no_repeat(std::string_view service, std::string_view missing);
     /// How late one turn of the event loop's ticker was.
     void on_late_turn(double seconds);
     /// Adds to a counter without labels.
--- a/include/yuccabeam/placement/outcome.hpp
+++ b/include/yuccabeam/placement/outcome.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace yuccabeam::placement {
@@ -36,6 +37,26 @@
     bool other_target_left = true; ///< one that this request has not tried
 };
 
+/// Conditions for another attempt that do not hold.
+struct missing_conditions {
+    bool idempotence = false; ///< the request may have run and isn't idempotent
+    bool time = false;
+    bool attempts = false;
+    bool credit = false; ///< of the budget for repeats
+    bool target = false; ///< to choose
+
+    bool any() const {
+        return idempotence || time || attempts || credit || target;
+    }
+    bool operator==(missing_conditions const&) const = default;
+};
+
+/// Names with commas between them, as in "credit,target"; "none" for none.
+std::string to_string(missing_conditions const& value);
+
+/// What an attempt that has failed lacks to be followed by another one.
+missing_conditions missing_for_another(attempt_facts const& facts);
+
 enum class next_step : std::uint8_t {
     deliver,   ///< the target's answer is the request's answer
     try_other, ///< send it to another target
--- a/include/yuccabeam/placement/request_course.hpp
+++ b/include/yuccabeam/placement/request_course.hpp
@@ -73,6 +73,13 @@
     end      ///< answer with the daemon's own, for `reason`
 };
 
+/// What was known of a request's way on when an attempt ended.
+struct repeat_outlook {
+    missing_conditions missing;
+    double credit = 0; ///< of this daemon for the service, in repeats
+    other_targets others;
+};
+
 /// What to do after an event, and what to tell.
 struct course_step {
     course_action action = course_action::wait;
@@ -84,6 +91,8 @@
     std::vector<target_activity> activity;
     /// Decision on the attempt that has just ended.
     next_step decision = next_step::fail;
+    /// What the decision rests on.
+    repeat_outlook outlook;
 };
 
 /// The way of one request over its targets: which gets it, what follows the
@@ -132,7 +141,8 @@
                                           attempt_outcome outcome,
                                           time_point now,
                                           std::size_t answer_bytes);
-    next_step decide(attempt_outcome outcome, time_point now) const;
+    attempt_facts facts_of(attempt_outcome outcome, other_targets const& others,
+                           time_point now) const;
     void set_check(time_point now);
     duration time_to_check() const;
 
--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -101,6 +101,14 @@
     std::vector<target_id> exclude; ///< already tried
 };
 
+/// Targets that a request could still choose.
+struct other_targets {
+    std::size_t left = 0;
+    std::size_t unreachable = 0; ///< of these, by this daemon at the moment
+
+    bool operator==(other_targets const&) const = default;
+};
+
 /// What was last learnt of a target, and by whom.
 struct target_evidence {
     notice_kind kind = notice_kind::failed;
@@ -180,6 +188,8 @@
     bool has_room(service_id const& service, time_point now) const;
     /// True when `choose` would find a target.
     bool has_choice(choice_request const& wanted, time_point now) const;
+    /// The targets among which `choose` would find one.
+    other_targets others(choice_request const& wanted, time_point now) const;
 
     void on_start(target_id const& id);
     /// Takes the end of an attempt that began at `started`; returns what to
--- a/src/yuccabeam/ctl/log_story.cpp
+++ b/src/yuccabeam/ctl/log_story.cpp
@@ -8,6 +8,7 @@
 #include <istream>
 #include <set>
 #include <sstream>
+#include <utility>
 
 namespace yuccabeam::ctl {
 
@@ -70,8 +71,43 @@
     return text;
 }
 
+std::string phrase_on(std::string_view condition, log_line const& attempt) {
+    if (condition == "idempotence")
+        return "it may have run";
+    if (condition == "time")
+        return "too little time was left";
+    if (condition == "attempts")
+        return "its attempts were used up (" + attempt.field("sent") + " sent)";
+    if (condition == "credit")
+        return "the daemon's budget had no repeat left (credit " +
+               attempt.field("credit_percent") + "% of one)";
+    if (condition == "target")
+        return "no other target was left to try";
+    return std::string(condition) + " was missing";
+}
+
+// Why an attempt was not followed by another one; empty for logs of versions
+// that don't tell.
+std::string sentence_on_missing(log_line const& attempt) {
+    auto const missing = attempt.field("missing");
+    if (missing.empty() || missing == "none")
+        return {};
+    std::string text = "it was not sent again, as ";
+    std::istringstream names(missing);
+    bool first = true;
+    for (std::string name; std::getline(names, name, ',');) {
+        text += (std::exchange(first, false) ? "" : ", and as ") +
+                phrase_on(name, attempt);
+    }
+    if (auto const unreachable = attempt.field("unreachable");
+        !unreachable.empty() && unreachable != "0")
+        text += "; " + unreachable + " of " + attempt.field("others") +
+                " other targets could not be reached";
+    return text;
+}
+
 // What the daemon answered, by the reason in its line.
-std::string sentence_on_end(log_line const& end) {
+std::string sentence_on_end(log_line const& end, log_line const* attempt) {
     auto const reason = end.field("reason");
     if (end.field("outcome") == "caller_gone")
         return "the caller left before there was an answer";
@@ -91,6 +127,9 @@
     if (reason == "deadline")
         return "the request's time ran out, the last target was " +
                end.field("target");
+    if (attempt != nullptr)
+        if (auto const text = sentence_on_missing(*attempt); !text.empty())
+            return text;
     if (end.field("outcome") == "unknown")
         return "it was not sent again, as it may have run";
     return "it was not sent again: no attempt or no room in the fleet's "
@@ -261,7 +300,7 @@
     if (attempt != nullptr && end != nullptr)
         text += "; ";
     if (end != nullptr)
-        text += sentence_on_end(*end);
+        text += sentence_on_end(*end, attempt);
     else if (attempt != nullptr && attempt->field("next") == "deliver")
         text += "; the caller got that answer";
     else if (attempt != nullptr)
--- a/src/yuccabeam/ctl/log_story_test.cpp
+++ b/src/yuccabeam/ctl/log_story_test.cpp
@@ -50,6 +50,34 @@
                     "reason=reset"),
          "target t1 closed the connection after 2 ms without an answer; it "
          "was not sent again, as it may have run."},
+        {"no credit for a repeat",
+         at("01.000", "a",
+            "event=attempt_failed id=r1 target=t1 outcome=reset ms=2 sent=1 "
+            "next=fail missing=credit credit_percent=40 others=6 "
+            "unreachable=5") +
+             at("01.001", "a",
+                "event=request_ended id=r1 target=t1 outcome=unknown "
+                "reason=reset"),
+         "; it was not sent again, as the daemon's budget had no repeat left "
+         "(credit 40% of one); 5 of 6 other targets could not be reached."},
+        {"two conditions missing",
+         at("01.000", "a",
+            "event=attempt_failed id=r1 target=t1 outcome=not_run http=503 "
+            "ms=2 sent=2 next=refuse missing=attempts,target others=0 "
+            "unreachable=0") +
+             at("01.001", "a",
+                "event=request_ended id=r1 target=t1 outcome=not_run "
+                "reason=not_run"),
+         "; it was not sent again, as its attempts were used up (2 sent), and "
+         "as no other target was left to try."},
+        {"a request that may run once only",
+         at("01.000", "a",
+            "event=attempt_failed id=r1 target=t1 outcome=reset ms=2 sent=1 "
+            "next=fail missing=idempotence") +
+             at("01.001", "a",
+                "event=request_ended id=r1 target=t1 outcome=unknown "
+                "reason=reset"),
+         "; it was not sent again, as it may have run."},
         {"answered elsewhere",
          at("01.000", "a",
             "event=attempt_failed id=r1 target=t1 outcome=wrong_target ms=3 "
--- a/src/yuccabeam/gateway/counters.cpp
+++ b/src/yuccabeam/gateway/counters.cpp
@@ -42,6 +42,11 @@
             .Name("yuccabeam_attempts_total")
             .Help("Attempts at targets by outcome")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& no_repeats =
+        prometheus::BuildCounter()
+            .Name("yuccabeam_attempts_not_repeated_total")
+            .Help("Failed attempts by what was missing for another one")
+            .Register(registry);
     prometheus::Family<prometheus::Histogram>& attempt_latency =
         prometheus::BuildHistogram()
             .Name("yuccabeam_attempt_seconds")
@@ -94,6 +99,13 @@
         .Observe(seconds);
 }
 
+void counters::on_no_repeat(std::string_view service,
+                            std::string_view missing) {
+    self_->no_repeats
+        .Add({{"service", text_of(service)}, {"missing", text_of(missing)}})
+        .Increment();
+}
+
 void counters::on_late_turn(double seconds) {
     self_->loop_lateness.Observe(seconds);
 }
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <map>
 #include <optional>
 #include <utility>
@@ -215,8 +216,10 @@
         auto const step =
             course_.on_attempt_end(attempt, outcome, now, result.body.size());
         count_attempt(attempt, outcome);
-        if (outcome != attempt_outcome::success)
-            log_attempt(attempt, outcome, result, step.decision);
+        if (outcome != attempt_outcome::success) {
+            log_attempt(attempt, outcome, result, step);
+            count_missing(step.outlook.missing);
+        }
         results_[attempt] = std::move(result);
         follow(step);
     }
@@ -292,6 +295,11 @@
             to_seconds(boot_now() - course_.attempts()[attempt].started));
     }
 
+    void count_missing(placement::missing_conditions const& missing) {
+        if (missing.any())
+            parts_.counters.on_no_repeat(service_.value, to_string(missing));
+    }
+
     telemetry::log_fields common_fields() const {
         return {{"id", id_},
                 {"route", request_.route.id.value},
@@ -301,9 +309,17 @@
                 {"left_ms", std::to_string(time_left().count())}};
     }
 
+    static telemetry::log_fields
+    outlook_fields(placement::repeat_outlook const& outlook) {
+        return {{"missing", to_string(outlook.missing)},
+                {"credit_percent",
+                 std::to_string(std::lround(outlook.credit * 100))},
+                {"others", std::to_string(outlook.others.left)},
+                {"unreachable", std::to_string(outlook.others.unreachable)}};
+    }
+
     void log_attempt(std::size_t attempt, attempt_outcome outcome,
-                     client_result const& result,
-                     placement::next_step decision) {
+                     client_result const& result, course_step const& step) {
         auto const& done = course_.attempts()[attempt];
         auto fields = common_fields();
         fields.insert(
@@ -321,7 +337,9 @@
              {"ms", std::to_string(to_milliseconds(result.total_time))},
              {"sent", std::to_string(course_.attempts_sent())},
              {"running", std::to_string(course_.running())},
-             {"next", std::string(to_string(decision))}});
+             {"next", std::string(to_string(step.decision))}});
+        auto const outlook = outlook_fields(step.outlook);
+        fields.insert(fields.end(), outlook.begin(), outlook.end());
         auto const basis =
             belief_fields(done.risk, done.evidence, done.started);
         fields.insert(fields.end(), basis.begin(), basis.end());
--- a/src/yuccabeam/placement/outcome.cpp
+++ b/src/yuccabeam/placement/outcome.cpp
@@ -48,27 +48,41 @@
     return "unknown";
 }
 
-namespace {
+std::string to_string(missing_conditions const& value) {
+    std::string out;
+    auto const add = [&](bool missing, std::string_view name) {
+        if (missing)
+            out.append(out.empty() ? "" : ",").append(name);
+    };
+    add(value.idempotence, "idempotence");
+    add(value.time, "time");
+    add(value.attempts, "attempts");
+    add(value.credit, "credit");
+    add(value.target, "target");
+    return out.empty() ? "none" : out;
+}
 
-bool may_try_other(attempt_facts const& facts) {
-    if (!facts.time_left || !facts.other_target_left)
-        return false;
+missing_conditions missing_for_another(attempt_facts const& facts) {
+    missing_conditions out;
+    out.idempotence = may_have_run(facts.outcome) && !facts.idempotent;
+    out.time = !facts.time_left;
+    out.target = !facts.other_target_left;
     // Nothing has arrived anywhere, so neither limit is touched.
     if (facts.outcome == attempt_outcome::connect_failed)
-        return true;
-    return facts.attempts_sent < facts.max_attempts && facts.budget_left;
+        return out;
+    out.attempts = facts.attempts_sent >= facts.max_attempts;
+    out.credit = !facts.budget_left;
+    return out;
 }
 
-} // namespace
-
 next_step after_attempt(attempt_facts const& facts, bool ran_before) {
     if (facts.outcome == attempt_outcome::success)
         return next_step::deliver;
-    bool const ran = may_have_run(facts.outcome);
-    if ((!ran || facts.idempotent) && may_try_other(facts))
+    if (!missing_for_another(facts).any())
         return next_step::try_other;
     if (facts.outcome == attempt_outcome::target_error)
         return next_step::deliver;
+    bool const ran = may_have_run(facts.outcome);
     return ran || ran_before ? next_step::fail : next_step::refuse;
 }
 
--- a/src/yuccabeam/placement/outcome_test.cpp
+++ b/src/yuccabeam/placement/outcome_test.cpp
@@ -82,3 +82,30 @@
         CHECK(after_attempt(c.facts, c.ran_before) == c.expected);
     }
 }
+
+// Guards against a log that names another cause than the decision had.
+TEST_CASE("a failed attempt tells each condition that is missing for another") {
+    struct row {
+        char const* expected;
+        attempt_facts facts;
+    };
+    row const rows[] = {
+        {"none", {attempt_outcome::reset, true, 1, 2}},
+        {"idempotence", {attempt_outcome::reset, false, 1, 2}},
+        {"time", {attempt_outcome::not_run, false, 1, 2, false}},
+        {"attempts", {attempt_outcome::reset, true, 2, 2}},
+        {"credit", {attempt_outcome::reset, true, 1, 2, true, false}},
+        {"target", {attempt_outcome::reset, true, 1, 2, true, true, false}},
+        {"attempts,credit,target",
+         {attempt_outcome::reset, true, 2, 2, true, false, false}},
+        {"none", {attempt_outcome::connect_failed, false, 2, 2, true, false}},
+        {"target",
+         {attempt_outcome::connect_failed, false, 2, 2, true, false, false}},
+    };
+    for (auto const& row : rows) {
+        auto const missing = missing_for_another(row.facts);
+        CHECK(to_string(missing) == row.expected);
+        CHECK(missing.any() ==
+              (after_attempt(row.facts, false) != next_step::try_other));
+    }
+}
--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -149,7 +149,11 @@
     auto const notice =
         note_end(attempts_[attempt], outcome, now, answer_bytes);
     tell_activity(attempts_[attempt].to.id, step);
-    step.decision = decide(outcome, now);
+    auto const left = parts_.book.others(wanted(now), now);
+    auto const facts = facts_of(outcome, left, now);
+    step.decision = after_attempt(facts, ran_);
+    step.outlook = {missing_for_another(facts), parts_.budget.credit(now),
+                    left};
     // While another attempt runs, it may still succeed. A second target that
     // was not reached is replaced all the same, as the first one takes long.
     bool const reached = outcome != attempt_outcome::connect_failed;
@@ -193,8 +197,9 @@
     return notice;
 }
 
-next_step request_course::decide(attempt_outcome outcome,
-                                 time_point now) const {
+attempt_facts request_course::facts_of(attempt_outcome outcome,
+                                       other_targets const& others,
+                                       time_point now) const {
     attempt_facts facts;
     facts.outcome = outcome;
     facts.idempotent = request_.idempotent;
@@ -202,8 +207,8 @@
     facts.max_attempts = request_.max_attempts;
     facts.time_left = enough_time(now);
     facts.budget_left = parts_.may_repeat(now);
-    facts.other_target_left = parts_.book.has_choice(wanted(now), now);
-    return after_attempt(facts, ran_);
+    facts.other_target_left = others.left > 0;
+    return facts;
 }
 
 // A request that may be repeated goes to a second target, and the first
--- a/src/yuccabeam/placement/request_course_test.cpp
+++ b/src/yuccabeam/placement/request_course_test.cpp
@@ -299,3 +299,18 @@
               doctest::Approx(to_milliseconds(row.check_after)));
     }
 }
+
+// Guards against a log line that shows other counts than the decision had.
+TEST_CASE("the end of an attempt tells what is left for another one") {
+    fixture world(3);
+    world.book.on_end({"t0"}, attempt_outcome::connect_failed, start, start);
+    world.may_repeat = false;
+    auto course = world.course(true);
+    auto const first = course.start(start);
+    auto const step =
+        course.on_attempt_end(first.attempt, attempt_outcome::reset, start);
+    CHECK(step.decision == next_step::fail);
+    CHECK(step.outlook.missing == missing_conditions{.credit = true});
+    CHECK(step.outlook.credit == doctest::Approx(world.budget.credit(start)));
+    CHECK(step.outlook.others == other_targets{2, 1});
+}
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -204,6 +204,17 @@
     return !const_cast<target_book*>(this)->candidates(wanted, now).empty();
 }
 
+other_targets target_book::others(choice_request const& wanted,
+                                  time_point now) const {
+    other_targets out;
+    for (auto const* entry :
+         const_cast<target_book*>(this)->candidates(wanted, now)) {
+        ++out.left;
+        out.unreachable += entry->unreachable(now);
+    }
+    return out;
+}
+
 void target_book::on_start(target_id const& id) {
     if (auto* entry = find(id))
         ++entry->in_flight;
