Let the placement model lose targets and restart daemons

New in a scenario: targets that are gone from a moment on (refusing or dark, with their entries missing in the lists 4.5 s later), daemons that restart one after another, a planned spell of resets that takes the place of a target's own turns, and a window whose requests, checks included, are counted apart. The times of requests and of repeats that arrived are recorded.

--- a/src/yuccabeam/bench/placement_world.cpp
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -1,6 +1,4 @@
-#include "placement_world.hpp"
-
-#include "yuccabeam/values/virtual_time.hpp"
+#include "placement_targets.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -21,48 +19,12 @@
 constexpr duration check_timeout = std::chrono::seconds(1);
 constexpr double tail_share = 0.01;
 constexpr double tail_factor = 5;
-constexpr std::size_t slots = 6;
-constexpr std::size_t queue_limit = 24;
-
-struct request {
-    std::size_t daemon = 0;
-    bool idempotent = false;
-    time_point arrived{};
-    duration work{};
-    bool has_error = false; ///< fails wherever it runs
-    bool counted = false;
-    std::unique_ptr<placement::request_course> course;
-};
-
-struct job {
-    std::shared_ptr<request> from;
-    std::size_t attempt = 0;
-    bool cancelled = false;
-    bool running = false;
-};
-
-struct server {
-    std::size_t domain = 0;
-    bool failing = false;
-    target_trouble trouble = target_trouble::none;
-    double trouble_share = 0;
-    double slow_factor = 1;
-    std::size_t busy = 0;
-    std::deque<std::shared_ptr<job>> queue = {};
-};
-
 struct entry_vm {
     std::size_t domain = 0;
-    std::unique_ptr<placement::target_book> book;
-    std::unique_ptr<placement::fleet_budget> budget;
+    std::shared_ptr<placement::target_book> book;
+    std::shared_ptr<placement::fleet_budget> budget;
 };
 
-std::string domain_name(std::size_t domain) {
-    return "d" + std::to_string(domain);
-}
-
-service_id const service{"svc"};
-
 placement::repeat_budget_options
 budget_options(placement_scenario const& scenario) {
     placement::repeat_budget_options out;
@@ -75,38 +37,30 @@
     world(placement_scenario const& scenario,
           placement::book_options const& book,
           placement::course_options const& course)
-        : scenario_(scenario), course_options_(course), random_(scenario.seed) {
-        std::vector<discovered_target> list;
-        for (std::size_t i = 0; i < scenario.targets; ++i) {
-            servers_.push_back({i % scenario.domains});
-            discovered_target target;
-            target.target = {{std::to_string(i)},
-                             service,
-                             {domain_name(i % scenario.domains)},
-                             "",
-                             slots,
-                             330};
-            list.push_back(target);
-        }
+        : scenario_(scenario), book_options_(book), course_options_(course),
+          random_(scenario.seed),
+          targets_(scenario, time_, random_,
+                   [this](std::size_t target, job_ptr const& work,
+                          attempt_outcome outcome) {
+                       respond(target, work, outcome);
+                   }) {
         for (std::size_t i = 0; i < scenario.daemons; ++i) {
-            entry_vm vm;
-            vm.domain = i % scenario.domains;
-            vm.book = std::make_unique<placement::target_book>(
-                failure_domain_id{domain_name(vm.domain)}, random_(), book);
-            vm.budget = std::make_unique<placement::fleet_budget>(
-                budget_options(scenario), daemon_id{std::to_string(i)}, 0, now_,
-                placement::first_credit::full);
-            vm.budget->own().on_fleet_size(scenario.daemons, now_);
-            vm.book->replace(list, false, now_);
-            daemons_.push_back(std::move(vm));
+            daemons_.push_back({i % scenario.domains, {}, {}});
+            start_process(i, 0, placement::first_credit::full);
         }
     }
 
     placement_result run() {
-        for (std::size_t i = 0; i < servers_.size(); ++i)
-            turn(i);
-        for (auto const& period : scenario_.troubles)
-            plan(period);
+        targets_.start();
+        for (auto const& loss : scenario_.losses)
+            after(loss.at + scenario_.entry_lease, [this] { tell_list(); });
+        for (std::size_t i = 0; i < scenario_.restarts.daemons; ++i)
+            after(scenario_.restarts.from +
+                      static_cast<int>(i) * scenario_.restarts.gap,
+                  [this, i] {
+                      start_process(i, random_(),
+                                    placement::first_credit::none);
+                  });
         for (std::size_t i = 0; i < daemons_.size(); ++i)
             heartbeat(i, 0);
         for (std::size_t i = 0; i < scenario_.domains; ++i)
@@ -123,6 +77,8 @@
         result_.crossing_share =
             static_cast<double>(crossings_) /
             std::max<double>(1, static_cast<double>(result_.arrivals));
+        result_.resets = targets_.resets();
+        result_.longest_queue = targets_.longest_queue();
         return result_;
     }
 
@@ -143,124 +99,22 @@
         return a == b ? local_link : scenario_.link;
     }
 
-    // --- targets ------------------------------------------------------------
-
-    void turn(std::size_t target) {
-        servers_[target].failing = happens(scenario_.failing_share);
-        after(exponential(scenario_.turn_period),
-              [this, target] { turn(target); });
-    }
-
-    void plan(trouble_period const& period) {
-        after(period.from, [this, period] {
-            for (std::size_t i = 0; i < period.targets; ++i) {
-                servers_[i].trouble = period.kind;
-                servers_[i].trouble_share = period.share;
-                servers_[i].slow_factor = period.slow_factor;
-            }
-        });
-        after(period.from + period.length, [this, period] {
-            for (std::size_t i = 0; i < period.targets; ++i) {
-                servers_[i].trouble = target_trouble::none;
-                servers_[i].slow_factor = 1;
-            }
-        });
-    }
-
-    void arrive(std::size_t target, std::shared_ptr<job> const& work) {
-        auto& to = servers_[target];
-        count_arrival(to, *work);
-        if (work->cancelled)
-            return;
-        if (to.failing && happens(scenario_.failing_resets)) {
-            ++result_.resets;
-            respond(target, work, attempt_outcome::reset);
-            return;
-        }
-        bool const hit = happens(to.trouble_share);
-        if (hit && to.trouble == target_trouble::hang)
-            return;
-        if (hit && to.trouble == target_trouble::reset)
-            respond(target, work, attempt_outcome::reset);
-        else if ((hit && to.trouble == target_trouble::shed) || full(to))
-            respond(target, work, attempt_outcome::not_run);
-        else if (to.busy < slots)
-            begin(target, work);
-        else
-            to.queue.push_back(work);
-        result_.longest_queue = std::max(result_.longest_queue,
-                                         static_cast<double>(to.queue.size()));
-    }
-
-    static bool full(server const& of) {
-        return of.busy >= slots && of.queue.size() >= queue_limit;
-    }
-
-    void count_arrival(server const& to, job const& work) {
-        if (!work.from->counted)
-            return;
-        ++result_.arrivals;
-        crossings_ += to.domain != daemons_[work.from->daemon].domain;
-        repeats_ += work.attempt > 0;
-    }
-
-    void begin(std::size_t target, std::shared_ptr<job> const& work) {
-        ++servers_[target].busy;
-        work->running = true;
-        after(work_time(target, *work), [this, target, work] {
-            if (!work->running)
-                return;
-            work->running = false;
-            bool const error =
-                work->from->has_error ||
-                (servers_[target].trouble == target_trouble::errors &&
-                 happens(servers_[target].trouble_share));
-            respond(target, work,
-                    error ? attempt_outcome::target_error
-                          : attempt_outcome::success);
-            release(target);
-        });
+    void respond(std::size_t target, job_ptr const& work,
+                 attempt_outcome outcome) {
+        after(way(target, *work->from),
+              [this, work, outcome] { end_attempt(work, outcome); });
     }
 
-    duration work_time(std::size_t target, job const& work) const {
-        auto const& at = servers_[target];
-        double const busy = static_cast<double>(at.busy) / slots;
-        double const crowd =
-            1 + scenario_.full_slowdown * std::max(0.0, 2 * busy - 1);
-        return from_seconds(to_seconds(work.from->work) * crowd *
-                            at.slow_factor);
+    duration way(std::size_t target, model_request const& from) const {
+        return link(targets_.domain(target), daemons_[from.daemon].domain);
     }
 
-    void release(std::size_t target) {
-        auto& of = servers_[target];
-        --of.busy;
-        while (!of.queue.empty()) {
-            auto const next = of.queue.front();
-            of.queue.pop_front();
-            if (next->cancelled)
-                continue;
-            begin(target, next);
-            return;
-        }
-    }
-
-    void cancel(std::size_t target, std::shared_ptr<job> const& work) {
-        work->cancelled = true;
-        if (std::exchange(work->running, false))
-            release(target);
-    }
-
-    void respond(std::size_t target, std::shared_ptr<job> const& work,
-                 attempt_outcome outcome) {
-        auto const back =
-            link(servers_[target].domain, daemons_[work->from->daemon].domain);
-        after(back, [this, work, outcome] {
-            auto& course = *work->from->course;
-            if (!course.ended() && course.attempts()[work->attempt].running)
-                follow(work->from,
-                       course.on_attempt_end(work->attempt, outcome, now_,
-                                             scenario_.answer_bytes));
-        });
+    void end_attempt(job_ptr const& work, attempt_outcome outcome) {
+        auto& course = *work->from->course;
+        if (!course.ended() && course.attempts()[work->attempt].running)
+            follow(work->from,
+                   course.on_attempt_end(work->attempt, outcome, now_,
+                                         scenario_.answer_bytes));
     }
 
     // --- requests -----------------------------------------------------------
@@ -296,7 +150,7 @@
     }
 
     void submit(bool idempotent, bool check) {
-        auto from = std::make_shared<request>();
+        auto from = std::make_shared<model_request>();
         from->daemon = random_() % daemons_.size();
         from->idempotent = idempotent;
         from->arrived = now_;
@@ -304,22 +158,30 @@
         from->has_error = happens(scenario_.error_share);
         auto const end = time_point{} + scenario_.length;
         from->counted = !check && now_ + scenario_.timeout < end;
+        auto const window = time_point{} + scenario_.window_from;
+        from->in_window =
+            now_ >= window && now_ < window + scenario_.window_length;
+        result_.request_times.push_back(now_);
         auto const timeout = check ? check_timeout : scenario_.timeout;
-        auto& vm = daemons_[from->daemon];
+        auto const& vm = daemons_[from->daemon];
+        from->process = std::make_shared<entry_vm>(vm);
         placement::course_request wanted;
-        wanted.service = service;
+        wanted.service = model_service();
         wanted.idempotent = idempotent;
         wanted.max_attempts = 2;
         wanted.latency_objective = scenario_.objective;
         wanted.deadline = now_ + timeout;
         from->course = std::make_unique<placement::request_course>(
             wanted,
-            placement::course_parts{
-                *vm.book, vm.budget->own(),
-                [&vm](time_point now) { return vm.budget->own().allows(now); }},
+            placement::course_parts{*vm.book, vm.budget->own(),
+                                    [budget = vm.budget](time_point now) {
+                                        return budget->own().allows(now);
+                                    }},
             course_options_);
         if (from->counted)
             ++result_of(*from).asked;
+        if (from->in_window)
+            ++result_.window.asked;
         after(timeout, [this, from] {
             if (!from->course->ended())
                 follow(from, from->course->on_deadline(now_));
@@ -327,7 +189,8 @@
         follow(from, from->course->start(now_));
     }
 
-    void follow(std::shared_ptr<request> const& from, course_step const& step) {
+    void follow(std::shared_ptr<model_request> const& from,
+                course_step const& step) {
         for (auto const& news : step.news)
             tell(from->daemon, news);
         for (auto const& activity : step.activity)
@@ -340,14 +203,12 @@
         cancel_jobs(*from);
     }
 
-    void send(std::shared_ptr<request> const& from, std::size_t attempt) {
+    void send(std::shared_ptr<model_request> const& from, std::size_t attempt) {
         auto const target = static_cast<std::size_t>(
             std::stoul(from->course->attempts()[attempt].to.id.value));
-        auto const work = std::make_shared<job>(job{from, attempt});
+        auto const work = std::make_shared<model_job>(model_job{from, attempt});
         jobs_[from.get()].push_back({target, work});
-        auto const there =
-            link(servers_[target].domain, daemons_[from->daemon].domain);
-        after(there, [this, target, work] { arrive(target, work); });
+        reach(target, work);
         if (auto const due = from->course->next_check())
             after(*due - now_, [this, from] {
                 if (!from->course->ended() &&
@@ -356,29 +217,64 @@
             });
     }
 
-    void cancel_jobs(request const& from) {
+    void reach(std::size_t target, job_ptr const& work) {
+        auto const there = way(target, *work->from);
+        if (targets_.lost(target) == loss_kind::dark)
+            after(scenario_.connect_timeout, [this, work] {
+                end_attempt(work, attempt_outcome::connect_failed);
+            });
+        else
+            after(there, [this, target, work] { arrive(target, work); });
+    }
+
+    void arrive(std::size_t target, job_ptr const& work) {
+        if (targets_.lost(target)) {
+            respond(target, work, attempt_outcome::connect_failed);
+            return;
+        }
+        count_arrival(target, *work);
+        targets_.arrive(target, work);
+    }
+
+    void count_arrival(std::size_t target, model_job const& work) {
+        if (++work.from->arrivals > 1)
+            result_.repeat_times.push_back(now_);
+        if (!work.from->counted)
+            return;
+        ++result_.arrivals;
+        crossings_ +=
+            targets_.domain(target) != daemons_[work.from->daemon].domain;
+        repeats_ += work.attempt > 0;
+    }
+
+    void cancel_jobs(model_request const& from) {
         auto const found = jobs_.find(&from);
         if (found == jobs_.end())
             return;
         for (auto const& [target, work] : found->second)
-            after(
-                link(servers_[target].domain, daemons_[from.daemon].domain),
-                [this, target = target, work = work] { cancel(target, work); });
+            after(way(target, from), [this, target = target, work = work] {
+                targets_.cancel(target, work);
+            });
         jobs_.erase(found);
     }
 
-    class_result& result_of(request const& from) {
+    class_result& result_of(model_request const& from) {
         return from.idempotent ? result_.idempotent : result_.non_idempotent;
     }
 
-    void count_end(request const& from, course_step const& step) {
+    void count_end(model_request const& from, course_step const& step) {
+        if (from.in_window)
+            count_in(result_.window, from);
         if (!from.counted)
             return;
-        auto& result = result_of(from);
         if (!from.course->succeeded())
             ++result_.reasons[step.action == course_action::end
                                   ? std::string(step.reason)
                                   : "target_error"];
+        count_in(result_of(from), from);
+    }
+
+    void count_in(class_result& result, model_request const& from) const {
         if (from.course->succeeded())
             ++(now_ - from.arrived <= scenario_.objective ? result.in_objective
                                                           : result.late);
@@ -390,6 +286,24 @@
 
     // --- daemons ------------------------------------------------------------
 
+    void start_process(std::size_t daemon, std::uint64_t first_number,
+                       placement::first_credit credit) {
+        auto& vm = daemons_[daemon];
+        vm.book = std::make_shared<placement::target_book>(
+            failure_domain_id{domain_name(vm.domain)}, random_(),
+            book_options_);
+        vm.budget = std::make_shared<placement::fleet_budget>(
+            budget_options(scenario_), daemon_id{std::to_string(daemon)},
+            first_number, now_, credit);
+        vm.budget->own().on_fleet_size(scenario_.daemons, now_);
+        vm.book->replace(targets_.listed(), false, now_);
+    }
+
+    void tell_list() {
+        for (auto& vm : daemons_)
+            vm.book->replace(targets_.listed(), false, now_);
+    }
+
     void message(std::size_t from, std::size_t to, std::function<void()> run) {
         if (happens(scenario_.message_loss))
             return;
@@ -465,22 +379,22 @@
         for (std::size_t i = 0; i < daemons_.size(); ++i) {
             auto& vm = daemons_[i];
             vm.book->loads().set_fleet_rate(
-                service, vm.budget->fleet_requests(now_) /
-                             to_seconds(vm.budget->own().window()));
+                model_service(), vm.budget->fleet_requests(now_) /
+                                     to_seconds(vm.budget->own().window()));
             ask_for_credit(i);
         }
         after(std::chrono::milliseconds(250), [this] { tick(); });
     }
 
     placement_scenario const& scenario_;
+    placement::book_options book_options_;
     placement::course_options course_options_;
     std::mt19937_64 random_;
     virtual_time time_;
     time_point const& now_ = time_.now();
-    std::vector<server> servers_;
+    model_targets targets_;
     std::vector<entry_vm> daemons_;
-    std::map<request const*,
-             std::vector<std::pair<std::size_t, std::shared_ptr<job>>>>
+    std::map<model_request const*, std::vector<std::pair<std::size_t, job_ptr>>>
         jobs_;
     std::uint64_t crossings_ = 0;
     std::uint64_t repeats_ = 0;
@@ -498,6 +412,10 @@
     return share(failed + refused, asked);
 }
 
+double class_result::served_share() const {
+    return share(in_objective + late, asked);
+}
+
 double class_result::late_share() const {
     return share(late, asked);
 }
--- a/src/yuccabeam/bench/placement_world.hpp
+++ b/src/yuccabeam/bench/placement_world.hpp
@@ -38,6 +38,27 @@
     double slow_factor = 1; ///< on the work time, for `slow`
 };
 
+/// How a target that is gone meets connections.
+enum class loss_kind : std::uint8_t {
+    refuses, ///< at once; what it had is reset
+    dark     ///< nothing comes back
+};
+
+/// Targets that are gone from a moment on, the last ones in order.
+struct target_loss {
+    std::size_t targets = 0;
+    duration at{};
+    loss_kind kind = loss_kind::refuses;
+};
+
+/// Daemons that restart one after another. The next process takes all new
+/// requests, and knows the list of targets only.
+struct restart_series {
+    std::size_t daemons = 0;
+    duration from{};
+    duration gap{};
+};
+
 struct placement_scenario {
     std::string name;
     std::size_t daemons = 32;
@@ -63,6 +84,14 @@
     double failing_share = 0.3;
     double failing_resets = 0.85; ///< requests that a failing target resets
     std::vector<trouble_period> troubles;
+    std::vector<target_loss> losses;
+    /// From the loss of a target until its entry is missing in the lists.
+    duration entry_lease = std::chrono::milliseconds(4'500);
+    duration connect_timeout = std::chrono::milliseconds(300);
+    restart_series restarts;
+    /// Requests sent in this time are counted apart.
+    duration window_from{};
+    duration window_length{};
     duration length = std::chrono::seconds(40);
     /// Between what a failure domain tells the others of its load.
     duration digest_period = std::chrono::milliseconds(100);
@@ -80,6 +109,7 @@
 
     double failed_share() const;
     double late_share() const;
+    double served_share() const;
 };
 
 struct placement_result {
@@ -91,6 +121,9 @@
     double crossing_share = 0; ///< arrivals from another failure domain
     double repeat_share = 0;   ///< arrivals beyond the first, of requests
     std::map<std::string, std::uint64_t> reasons; ///< of requests that failed
+    class_result window; ///< of the scenario's window, checks included
+    std::vector<time_point> request_times;
+    std::vector<time_point> repeat_times; ///< arrivals beyond a request's first
 };
 
 /// Runs a scenario from the start of all daemons on.
