--- a/src/yuccabeam/ctl/log_story.cpp
+++ b/src/yuccabeam/ctl/log_story.cpp
@@ -128,7 +128,7 @@
         return "the request's time ran out, the last target was " +
                end.field("target");
     if (attempt != nullptr)
-        if (auto const text = sentence_on_missing(*attempt); !text.empty())
+        if (auto text = sentence_on_missing(*attempt); !text.empty())
             return text;
     if (end.field("outcome") == "unknown")
         return "it was not sent again, as it may have run";
