Refuse JSON that is nested too deeply or has too large a number

Callers of the product's own daemon lost all of it: parse_json caught syntax errors only, so a value of another writer in the key-value service with a number such as 1e400 threw json.exception.out_of_range.406 through the event loop, and one that nests deeply was parsed and then ended the process when a fault quoted it, as values are written by recursion.

Before, with the tests of this commit: "a text that JSON allows and a daemon can't hold is a fault" ends with that exception at 1e400; the asset register with 100,000 and with 1,000,000 levels under /services ends with SIGSEGV, with 1,000 it is a fault as it should be. Ruled out: the parser itself, which is not recursive, and the destruction of a parsed value.

A text is now scanned for more than 64 levels before it is parsed, and each exception of the library becomes a fault.

--- a/include/yuccabeam/values/json_reader.hpp
+++ b/include/yuccabeam/values/json_reader.hpp
@@ -3,6 +3,7 @@
 #include "yuccabeam/values/fault.hpp"
 #include "yuccabeam/values/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -104,7 +105,12 @@
     std::vector<std::string> known_;
 };
 
-/// Parses JSON text; a syntax error becomes a fault at its byte offset.
+/// Levels of nesting that a document may have. Values are written by
+/// recursion, which ends the process on a deep one.
+constexpr std::size_t max_json_depth = 64;
+
+/// Parses JSON text. A syntax error or too deep nesting becomes a fault at its
+/// byte offset, and so does a number that doesn't fit.
 std::optional<nlohmann::json> parse_json(std::string_view text,
                                          std::vector<json_fault>& faults);
 
--- a/src/yuccabeam/config/replica_test.cpp
+++ b/src/yuccabeam/config/replica_test.cpp
@@ -41,6 +41,25 @@
     return out;
 }
 
+// Guards against a value of another writer in the store that ends the daemon.
+TEST_CASE("a head or a chunk that can't be held as JSON is refused") {
+    std::string const deep =
+        std::string(1'000'000, '[') + std::string(1'000'000, ']');
+    std::string const texts[] = {
+        deep,
+        R"({"revision":1e400,"manifest":"m"})",
+        R"({"revision":)" + deep + R"(,"manifest":"m"})",
+        R"({"leaf":{"a":1e400}})",
+        R"({"leaf":)" + deep + "}",
+        R"({"leaf":{"a":)" + deep + "}}",
+    };
+    for (auto const& text : texts) {
+        CAPTURE(text.substr(0, 40));
+        CHECK_FALSE(parse_head(text));
+        CHECK_FALSE(parse_chunk(text));
+    }
+}
+
 // Guards against fetching the whole configuration again for a small change.
 TEST_CASE("one changed item costs a few chunks of a large configuration") {
     chain accepted;
--- a/src/yuccabeam/values/json_reader.cpp
+++ b/src/yuccabeam/values/json_reader.cpp
@@ -1,8 +1,8 @@
 #include "yuccabeam/values/json_reader.hpp"
 
+#include "yuccabeam/values/ip_address.hpp"
+
 #include <algorithm>
-#include <arpa/inet.h>
-#include <charconv>
 
 namespace yuccabeam {
 
@@ -32,25 +32,25 @@
            std::to_string(range.highest);
 }
 
-bool is_ip_address(std::string const& text) {
-    auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return false;
-    std::string host = text.substr(0, colon);
-    unsigned port = 0;
-    auto const* end = text.data() + text.size();
-    auto const [rest, error] =
-        std::from_chars(text.data() + colon + 1, end, port);
-    if (error != std::errc() || rest != end || port == 0 || port > 65535)
-        return false;
-    in_addr v4;
-    if (inet_pton(AF_INET, host.c_str(), &v4) == 1)
-        return true;
-    if (host.size() < 2 || host.front() != '[' || host.back() != ']')
-        return false;
-    in6_addr v6;
-    return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &v6) ==
-           1;
+// Byte at which a text nests more deeply than a document may; its size when
+// it doesn't. Brackets in strings don't count.
+std::size_t first_too_deep(std::string_view text) {
+    std::size_t depth = 0;
+    bool in_string = false;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        char const c = text[at];
+        if (c == '"')
+            in_string = !in_string;
+        else if (in_string && c == '\\')
+            ++at;
+        else if (in_string)
+            continue;
+        else if ((c == '[' || c == '{') && ++depth > max_json_depth)
+            return at;
+        else if ((c == ']' || c == '}') && depth > 0)
+            --depth;
+    }
+    return text.size();
 }
 
 } // namespace
@@ -76,14 +76,24 @@
 
 std::optional<nlohmann::json> parse_json(std::string_view text,
                                          std::vector<json_fault>& faults) {
+    if (auto const at = first_too_deep(text); at < text.size()) {
+        faults.push_back(
+            {"",
+             "at most " + std::to_string(max_json_depth) + " levels of nesting",
+             "more at byte " + std::to_string(at)});
+        return std::nullopt;
+    }
     try {
         return nlohmann::json::parse(text);
     } catch (nlohmann::json::parse_error const& error) {
         faults.push_back(
             {"", "valid JSON",
              "a syntax error at byte " + std::to_string(error.byte)});
-        return std::nullopt;
+    } catch (nlohmann::json::exception const&) {
+        // A number such as 1e400 is no syntax error to the parser.
+        faults.push_back({"", "numbers that fit a double", "a larger one"});
     }
+    return std::nullopt;
 }
 
 json_reader::json_reader(nlohmann::json const& object, std::string path,
@@ -208,7 +218,8 @@
     auto const* field = find(name, true, expected);
     if (!field)
         return {};
-    if (field->is_string() && is_ip_address(field->get<std::string>()))
+    if (field->is_string() &&
+        parse_ip_address(field->get_ref<std::string const&>()))
         return field->get<std::string>();
     add_fault(name, std::string(expected), brief(*field));
     return {};
--- a/src/yuccabeam/values/json_reader_test.cpp
+++ b/src/yuccabeam/values/json_reader_test.cpp
@@ -47,6 +47,48 @@
     }
 }
 
+// Guards against a text of another writer that ends the process.
+TEST_CASE("a text that JSON allows and a daemon can't hold is a fault") {
+    auto const nested = [](std::size_t levels) {
+        return std::string(levels, '[') + std::string(levels, ']');
+    };
+    struct row {
+        char const* name;
+        std::string text;
+    };
+    row const rows[] = {
+        {"number beyond a double", R"({"services":1e400})"},
+        {"negative number beyond a double", "-1e999"},
+        {"100,000 levels", nested(100'000)},
+        {"1,000,000 levels", nested(1'000'000)},
+        {"1,000,000 levels without an end", std::string(1'000'000, '[')},
+        {"levels in a field", R"({"services":)" + nested(1'000'000) + "}"},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.name);
+        std::vector<json_fault> faults;
+        auto const document = parse_json(row.text, faults);
+        // Faults quote what they found.
+        if (document) {
+            json_reader reader(*document, "", faults);
+            parse_asset_register(reader);
+        }
+        CHECK_FALSE(document);
+        CHECK(faults.size() == 1);
+    }
+}
+
+TEST_CASE("brackets in strings are no levels of nesting") {
+    std::vector<json_fault> faults;
+    CHECK(parse_json(R"({"a":")" + std::string(1'000, '[') + R"(\"{{","b":[]})",
+                     faults));
+    std::string flat = "[0";
+    for (int i = 0; i < 1'000; ++i)
+        flat += ",[]";
+    CHECK(parse_json(flat + "]", faults));
+    CHECK(faults.empty());
+}
+
 // Guards against a configuration that loses fields on its way through the
 // store.
 TEST_CASE("register and rules survive a round trip through JSON") {
