Send no request to an address that can't be read

The HTTP client cut a port to 16 bits and took a host that is no IP number for 0.0.0.0, which reaches the VM itself. So a request to 127.0.0.1:111097 went to port 45561, and one to host:45561 or 0.0.0.0:45561 to whatever listens there on this VM: a request may have run where nobody sent it.

Such a call now ends with connect_failed, later and with nothing sent, as a refused connection does.

--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -1,8 +1,8 @@
 #include "yuccabeam/http1/client.hpp"
 
-#include "yuccabeam/adapters/address.hpp"
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/net/one_shot_timer.hpp"
+#include "yuccabeam/values/ip_address.hpp"
 
 #include <array>
 #include <asio.hpp>
@@ -26,11 +26,16 @@
 // path is noticed by idle connections too.
 constexpr int tcp_user_timeout_ms = 10'000;
 
-tcp::endpoint endpoint_of(std::string const& address) {
-    auto const parts = adapters::split_address(address);
+std::optional<tcp::endpoint> endpoint_of(std::string const& address) {
+    auto const read = parse_ip_address(address);
+    // A connection to 0.0.0.0 would reach this VM itself.
+    if (!read || read->any_host)
+        return std::nullopt;
     std::error_code error;
-    auto const ip = asio::ip::make_address(parts.host, error);
-    return {ip, parts.port};
+    auto const ip = asio::ip::make_address(read->host, error);
+    if (error)
+        return std::nullopt;
+    return tcp::endpoint(ip, read->port);
 }
 
 // Idle limit that the peer names in `Keep-Alive: timeout=N`.
@@ -199,9 +204,13 @@
 
 private:
     void connect() {
-        std::error_code error;
         auto const endpoint = endpoint_of(request_.address);
-        socket_.open(endpoint.protocol(), error);
+        if (!endpoint) {
+            fail_later();
+            return;
+        }
+        std::error_code error;
+        socket_.open(endpoint->protocol(), error);
         if (error) {
             fail_later();
             return;
@@ -212,7 +221,7 @@
         ++pool_->opened;
         set_limit(std::min(request_.connect_timeout, request_.timeout));
         socket_.async_connect(
-            endpoint, [self = shared_from_this()](std::error_code error) {
+            *endpoint, [self = shared_from_this()](std::error_code error) {
                 self->on_connected(error);
             });
     }
--- a/src/yuccabeam/http1/client_test.cpp
+++ b/src/yuccabeam/http1/client_test.cpp
@@ -141,3 +141,39 @@
     CHECK(second.body == "ok");
     CHECK_FALSE(second.reused);
 }
+
+// Guards against a request that reaches another process, as the port was cut
+// to 16 bits or the host read as 0.0.0.0.
+TEST_CASE("a request to an address that can't be read goes nowhere") {
+    asio::io_context context;
+    scripted_peer peer(context, {{good}, {good}});
+    client client(context.get_executor());
+    auto const local = peer.address();
+    auto const port = local.substr(local.rfind(':') + 1);
+    std::string const addresses[] = {
+        "",
+        ":" + port,
+        "host:" + port,
+        "0.0.0.0:" + port,
+        "[::]:" + port,
+        "127.0.0.256:" + port,
+        "127.0.0.1:" + std::to_string(65'536 + std::stoul(port)),
+        local + "x",
+        "127.0.0.1:0",
+        "127.0.0.1:-1",
+        "127.0.0.1",
+    };
+    for (auto const& address : addresses) {
+        CAPTURE(address);
+        client_request request;
+        request.address = address;
+        std::optional<client_result> out;
+        client.start(request, [&](client_result result) { out = result; });
+        // The handler runs later, as for every other end.
+        CHECK_FALSE(out);
+        REQUIRE(run_until(context, [&] { return out.has_value(); }));
+        CHECK(out->status == client_status::connect_failed);
+        CHECK_FALSE(out->request_begun);
+    }
+    CHECK(peer.connections() == 0);
+}
