--- a/include/yuccabeam/gateway/formats.hpp
+++ b/include/yuccabeam/gateway/formats.hpp
@@ -69,9 +69,9 @@
     std::string policy_key;
     std::function<result<traffic_policy>(std::string const& value)> policy;
     std::string target_prefix;
-    /// Empty for an entry that names no usable target.
-    std::function<std::optional<discovered_target>(std::string_view id,
-                                                   std::string const& value)>
+    /// Fails, with a short reason, for an entry that names no usable target.
+    std::function<result<discovered_target>(std::string_view id,
+                                            std::string const& value)>
         target;
     std::string daemon_prefix; ///< keys of the daemons' own entries
 };
--- a/src/yuccabeam/bench/fleet_bench.cpp
+++ b/src/yuccabeam/bench/fleet_bench.cpp
@@ -177,8 +177,8 @@
         .dump();
 }
 
-std::optional<discovered_target> read_entry(std::string_view id,
-                                            std::string const& text) {
+result<discovered_target> read_entry(std::string_view id,
+                                     std::string const& text) {
     auto const in = nlohmann::json::parse(text);
     auto const& description = in.at("description");
     discovered_target out;
--- a/src/yuccabeam/gateway/entry_daemon.cpp
+++ b/src/yuccabeam/gateway/entry_daemon.cpp
@@ -191,9 +191,15 @@
 }
 
 void implementation::apply_targets(time_point now) {
-    if (auto const rejected = target_list.update(store->mirror()))
+    auto const update = target_list.update(store->mirror());
+    if (update.rejected > 0)
         counters.count("target_entries_rejected",
-                       static_cast<double>(rejected));
+                       static_cast<double>(update.rejected));
+    for (auto const& entry : update.reasons)
+        log.write("target_entry_rejected",
+                  {{"key", entry.key},
+                   {"reason", entry.reason},
+                   {"store_revision", std::to_string(entry.revision)}});
     bool const after_outage = outage_seen && now - *outage_seen < outage_memory;
     for (auto const& change : book.replace(target_list.targets(), after_outage,
                                            now, store->changed_after()))
--- a/src/yuccabeam/gateway/target_entries.cpp
+++ b/src/yuccabeam/gateway/target_entries.cpp
@@ -7,9 +7,27 @@
 target_entries::target_entries(std::string prefix, parser parse)
     : prefix_(std::move(prefix)), parse_(std::move(parse)) {}
 
+void target_entries::parse(mirror::stored_item const& item, parsed_entry& entry,
+                           entry_update& out) const {
+    entry.revision = item.revision;
+    auto read =
+        parse_(std::string_view(item.key).substr(prefix_.size()), item.value);
+    if (read) {
+        entry.target = std::move(read.value());
+        entry.reason.clear();
+        return;
+    }
+    entry.target.reset();
+    ++out.rejected;
+    if (entry.reason == read.error().message)
+        return;
+    entry.reason = read.error().message;
+    out.reasons.push_back({item.key, item.revision, entry.reason});
+}
+
 // Both sides are in the order of their keys.
-std::size_t target_entries::update(mirror::store_mirror const& store) {
-    std::size_t rejected = 0;
+entry_update target_entries::update(mirror::store_mirror const& store) {
+    entry_update out;
     auto at = entries_.begin();
     for (auto const* item : store.with_prefix(prefix_)) {
         while (at != entries_.end() && at->first < item->key)
@@ -17,15 +35,12 @@
         bool const known = at != entries_.end() && at->first == item->key;
         if (!known)
             at = entries_.emplace_hint(at, item->key, parsed_entry{});
-        if (!known || at->second.revision != item->revision) {
-            auto const id = std::string_view(item->key).substr(prefix_.size());
-            at->second = {item->revision, parse_(id, item->value)};
-            rejected += !at->second.target;
-        }
+        if (!known || at->second.revision != item->revision)
+            parse(*item, at->second, out);
         ++at;
     }
     entries_.erase(at, entries_.end());
-    return rejected;
+    return out;
 }
 
 std::vector<discovered_target> target_entries::targets() const {
--- a/src/yuccabeam/gateway/target_entries_test.cpp
+++ b/src/yuccabeam/gateway/target_entries_test.cpp
@@ -10,10 +10,9 @@
 
 std::string const prefix = "targets/";
 
-std::optional<discovered_target> parse(std::string_view id,
-                                       std::string const& value) {
-    if (value == "unusable")
-        return std::nullopt;
+result<discovered_target> parse(std::string_view id, std::string const& value) {
+    if (value.starts_with("unusable"))
+        return make_fault(fault_code::invalid_input, value);
     discovered_target out;
     out.target.id = {std::string(id)};
     out.target.address = value;
@@ -26,7 +25,7 @@
     std::vector<discovered_target> out;
     for (auto const* item : store.with_prefix(prefix))
         if (auto target = parse(item->key.substr(prefix.size()), item->value))
-            out.push_back(std::move(*target));
+            out.push_back(std::move(target.value()));
     return out;
 }
 
@@ -77,13 +76,42 @@
     mirror::store_mirror store;
     store.apply(put(1, "a", "one"));
     store.apply(put(2, "b", "unusable"));
-    CHECK(entries.update(store) == 1);
+    CHECK(entries.update(store).rejected == 1);
     CHECK(parsed == 2);
     store.apply(put(3, "c", "one"));
-    CHECK(entries.update(store) == 0);
+    CHECK(entries.update(store).rejected == 0);
     CHECK(parsed == 3);
 }
 
+// Guards against a log that another writer fills with one entry.
+TEST_CASE("each reason for which a key names no target is told once") {
+    target_entries entries(prefix, parse);
+    mirror::store_mirror store;
+    struct row {
+        char const* value;
+        std::size_t rejected;
+        std::vector<rejected_entry> reasons;
+    };
+    row const rows[] = {
+        {"unusable 1", 1, {{prefix + "a", 1, "unusable 1"}}},
+        {"unusable 1", 1, {}},
+        {"unusable 2", 1, {{prefix + "a", 3, "unusable 2"}}},
+        {"one", 0, {}},
+        {"unusable 2", 1, {{prefix + "a", 5, "unusable 2"}}},
+    };
+    std::uint64_t revision = 0;
+    for (auto const& row : rows) {
+        ++revision;
+        CAPTURE(revision);
+        store.apply(put(revision, "a", row.value));
+        auto const update = entries.update(store);
+        CHECK(update.rejected == row.rejected);
+        CHECK(update.reasons == row.reasons);
+        CHECK(entries.targets().size() == 1 - row.rejected);
+    }
+    CHECK(entries.update(store).reasons.empty());
+}
+
 TEST_CASE("an entry that comes back with its old value is a target again") {
     target_entries entries(prefix, parse);
     mirror::store_mirror store;
