Skip an odd entry of the VM list and keep the others

The product's own daemon ended when one VM of the list had a field of another type: the reader's accessor threw json.exception.type_error.302, which nobody catches, on the thread that reads the list. Such an entry now names no VM. A list that nests deeply is a fault, as one that is no JSON is.

Before: the first new test ended with that exception at {"id":5}; in the second one a list of 100,000 levels was read as a list.

--- a/src/yuccabeam/adapters/store_client.cpp
+++ b/src/yuccabeam/adapters/store_client.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/adapters/store_client.hpp"
 
 #include "yuccabeam/adapters/http_client.hpp"
+#include "yuccabeam/values/json_reader.hpp"
 
 #include <cstdlib>
 #include <nlohmann/json.hpp>
@@ -67,6 +68,21 @@
     return call;
 }
 
+// Empty for an entry that names no VM.
+std::optional<listed_vm> read_vm(nlohmann::json const& entry) {
+    std::vector<json_fault> faults;
+    json_reader reader(entry, "", faults);
+    listed_vm out;
+    out.id = reader.string_or("id", "");
+    out.address = reader.string_or("address", "");
+    out.role = reader.string_or("role", "");
+    out.failure_domain = reader.string_or("failure_domain", "");
+    out.leaving = reader.boolean_or("leaving", false);
+    if (!faults.empty())
+        return std::nullopt;
+    return out;
+}
+
 } // namespace
 
 store_client::store_client(std::string address, store_client_options options)
@@ -123,15 +139,14 @@
     auto const reply = perform(call);
     if (!reply)
         return reply.error();
-    auto const list = nlohmann::json::parse(reply.value().body, nullptr, false);
-    if (reply.value().status != 200 || !list.is_array())
+    std::vector<json_fault> faults;
+    auto const list = parse_json(reply.value().body, faults);
+    if (reply.value().status != 200 || !list || !list->is_array())
         return unexpected(reply.value());
     std::vector<listed_vm> out;
-    for (auto const& vm : list)
-        if (vm.is_object())
-            out.push_back({vm.value("id", ""), vm.value("address", ""),
-                           vm.value("role", ""), vm.value("failure_domain", ""),
-                           vm.value("leaving", false)});
+    for (auto const& entry : *list)
+        if (auto vm = read_vm(entry))
+            out.push_back(std::move(*vm));
     return out;
 }
 
--- a/src/yuccabeam/standins/store_server_test.cpp
+++ b/src/yuccabeam/standins/store_server_test.cpp
@@ -127,6 +127,38 @@
     CHECK(client.vms().value().empty());
 }
 
+// Guards against an odd entry that ends the daemon or hides the other VMs.
+TEST_CASE("an odd entry of the VM list names no VM, the others hold") {
+    service const service;
+    adapters::store_client client(service.address());
+    std::string const good = R"({"id":"e1","address":"127.0.0.1:1",
+        "role":"daemon","failure_domain":"a","leaving":true})";
+    std::vector<adapters::listed_vm> const expected{
+        {"e1", "127.0.0.1:1", "daemon", "a", true}};
+    for (std::string const odd :
+         {R"({"id":5})", R"({"id":"e2","address":["127.0.0.1:2"]})",
+          R"({"id":"e2","role":null})", R"({"id":"e2","leaving":"yes"})",
+          R"({"id":"e2","failure_domain":{}})", "7", "null", "[]"}) {
+        CAPTURE(odd);
+        service.call("PUT", "/v1/vms", "[" + odd + "," + good + "]");
+        auto const vms = client.vms();
+        REQUIRE(vms);
+        CHECK(vms.value() == expected);
+    }
+}
+
+TEST_CASE("a VM list that can't be held as JSON is a fault") {
+    service const service;
+    adapters::store_client client(service.address());
+    for (std::string const list :
+         {std::string("[1e400]"),
+          std::string(100'000, '[') + std::string(100'000, ']')}) {
+        CAPTURE(list.substr(0, 20));
+        service.call("PUT", "/v1/vms", list);
+        CHECK_FALSE(client.vms());
+    }
+}
+
 // Guards against a control request that is wrong and yet answered with 200,
 // so that a test believes in a fault that isn't there.
 TEST_CASE("wrong control requests are refused and change nothing") {
