Refuse a query that nests deeply

The control address writes a query's id back as it came. An id of 1,000,000 levels ended the daemon, as values are written by recursion. The query is now read with the bound of every other text.

Before: the new test ended with SIGSEGV. Only who reaches the control address can send it.

--- a/src/yuccabeam/gateway/queries.cpp
+++ b/src/yuccabeam/gateway/queries.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/gateway/queries.hpp"
 
 #include "yuccabeam/gateway/belief_text.hpp"
+#include "yuccabeam/values/json_reader.hpp"
 
 #include <algorithm>
 #include <map>
@@ -147,8 +148,6 @@
 }
 
 json answer(json const& request, daemon_state const& state) {
-    if (request.is_discarded())
-        return error_answer(nullptr, parse_error, "not JSON");
     if (!request.is_object() || !request.contains("method") ||
         !request["method"].is_string())
         return error_answer(nullptr, invalid_request, "no method");
@@ -168,7 +167,10 @@
 } // namespace
 
 std::string answer_query(std::string_view request, daemon_state const& state) {
-    return answer(json::parse(request, nullptr, false), state)
+    std::vector<json_fault> faults;
+    auto const document = parse_json(request, faults);
+    return (document ? answer(*document, state)
+                     : error_answer(nullptr, parse_error, "not JSON"))
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/src/yuccabeam/gateway/queries_test.cpp
+++ b/src/yuccabeam/gateway/queries_test.cpp
@@ -124,6 +124,14 @@
         CHECK(json::parse(answer_query(text, state())).contains("error"));
 }
 
+// Guards against a query that ends the daemon, as its id is written back.
+TEST_CASE("a query that nests deeply is refused") {
+    auto const query = R"({"method":"status","id":)" +
+                       std::string(1'000'000, '[') +
+                       std::string(1'000'000, ']') + "}";
+    CHECK(json::parse(answer_query(query, state())).contains("error"));
+}
+
 // Guards against a control address that answers daemons without a copy of
 // the store with an empty one.
 TEST_CASE("the control address answers daemons, operators and collectors") {
