Refuse changes from a daemon that nest deeply

A daemon that lacks changes asks another one for them and decodes the body, of up to 32 MB, with a recursive decoder: 1,000,000 levels ended the process. Entries of the store can't cause it, as they travel as strings; the address that is asked is one that a datagram gave. A body is now checked for the shape of a message first, eight arrays inside each other at most.

--- a/src/yuccabeam/gateway/peer_message.cpp
+++ b/src/yuccabeam/gateway/peer_message.cpp
@@ -13,6 +13,40 @@
 // More credit in one message is a damaged one.
 constexpr double max_credit = 1e6;
 
+// Arrays inside each other in a message; that of changes needs four.
+constexpr std::size_t max_depth = 8;
+
+// Stops at a structure that no message has. The decoder is recursive, and a
+// body is long enough to use up its stack.
+struct shape_check : nlohmann::json_sax<json> {
+    std::size_t depth = 0;
+
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, string_t const&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool start_object(std::size_t) override { return false; }
+    bool key(string_t&) override { return false; }
+    bool end_object() override { return false; }
+    bool start_array(std::size_t) override { return ++depth <= max_depth; }
+    bool end_array() override {
+        --depth;
+        return true;
+    }
+    bool parse_error(std::size_t, std::string const&,
+                     nlohmann::detail::exception const&) override {
+        return false;
+    }
+};
+
+bool has_shape_of_message(std::string const& body) {
+    shape_check check;
+    return json::sax_parse(body, &check, json::input_format_t::msgpack);
+}
+
 // A heartbeat goes to every daemon each second, so its keys are left out:
 // messages are arrays in the order of their fields.
 json to_json(placement::target_notice const& notice) {
@@ -202,6 +236,8 @@
 }
 
 std::optional<changes_and_peers> decode_changes(std::string const& body) {
+    if (!has_shape_of_message(body))
+        return std::nullopt;
     try {
         auto const in = json::from_msgpack(body);
         if (in.at(0).get<int>() != protocol_version)
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -169,3 +169,17 @@
     for (auto const& row : rows)
         CHECK(next_drain_step(row.elapsed, row.active, {}) == row.expected);
 }
+
+// Guards against a response that ends the daemon, as the decoder is recursive.
+TEST_CASE("changes that nest deeply are no changes") {
+    for (std::size_t const levels : {5u, 1'000u, 1'000'000u}) {
+        CAPTURE(levels);
+        CHECK_FALSE(decode_changes(std::string(levels, '\x91')));
+        CHECK_FALSE(decode_changes(std::string(levels, '\x81')));
+    }
+    mirror::store_changes const changes{
+        3, 5, {{{"k", std::string("\xff\x00", 2), 5}, false}}};
+    auto const read = decode_changes(encode_changes(changes, {"p"}));
+    REQUIRE(read);
+    CHECK(read->changes == changes);
+}
