Refuse answers and requests whose end can't be known

- A response whose Transfer-Encoding is something else than `chunked` (its value cut to `chunke`, empty, `identity`, `gzip`, `chunked, gzip`) was read until the connection closed, and so a body that ended early, or the chunks' sizes with it, went to the caller as a whole 200 with a length.
On the server's side `gzip, chunked`, in one field or two, was handed on without the encoding, as another body.
Both are malformed now.
- A head that stopped in a field's value with another request's response behind it was taken as one head: the first id was right and the body the other's.
Each field that identifies a response must now agree.
- http_parser waits for a body after a 304 that names a length (1xx and 204 too), so such an answer ended as truncated.
Responses that never have a body are skipped as those to HEAD are.

Ruled out by the same tables: cuts in the status line, in names, values, between fields, in chunk sizes, chunks, extensions and trailers; lengths that are empty, signed, too large, listed or given twice; a length beside chunks; HEAD, 204 and interim responses; a caller's request that is cut anywhere and closed or reset never reaches the handler.

--- a/src/yuccabeam/gateway/exchange_test.cpp
+++ b/src/yuccabeam/gateway/exchange_test.cpp
@@ -1,5 +1,6 @@
 #include "yuccabeam/gateway/exchange.hpp"
 
+#include "../http1/answer_bytes.hpp"
 #include "../http1/scripted_peer.hpp"
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/standins/endless_answer.hpp"
@@ -236,6 +237,46 @@
         }
 }
 
+// Guards against a cut answer that its caller gets as a whole one.
+TEST_CASE("of an answer that is cut anywhere a caller gets the whole one or "
+          "a failure") {
+    for (auto const& answer : http1::whole_answers) {
+        if (answer.method != "GET")
+            continue;
+        CAPTURE(answer.framing);
+        auto const text = answer.text();
+        for (std::size_t size = 0; size <= text.size(); ++size)
+            for (bool const reset : {false, true}) {
+                CAPTURE(size);
+                CAPTURE(reset);
+                fixture f({{text.substr(0, size), !reset, reset}}, 1);
+                f.run(false);
+                auto const& sent = *f.caller->sent;
+                if (sent.status < 400) {
+                    CHECK(answer.is_whole(size));
+                    CHECK_FALSE((reset && answer.ends_with_connection));
+                    CHECK(sent.body == answer.body_of(size));
+                } else {
+                    // A reset may overtake a whole answer's last bytes.
+                    CHECK((reset || !answer.is_whole(size)));
+                    CHECK(sent.status == 502);
+                }
+                CHECK(f.caller->sends == 1);
+                CHECK(f.arrivals() == 1);
+            }
+    }
+}
+
+TEST_CASE("an answer whose end can't be known is a failure to its caller") {
+    for (auto const& answer : http1::unframed_answers) {
+        CAPTURE(answer.guards);
+        fixture f({{answer.text, true}}, 1);
+        f.run(false);
+        CHECK(f.caller->sent->status == 502);
+        CHECK(f.arrivals() == 1);
+    }
+}
+
 TEST_CASE("a target gets the time that is left and its own name, and no "
           "field of the caller's connection") {
     fixture f({{proven}}, 1);
--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -335,8 +335,15 @@
     bool matches(message_head const& head) const {
         if (request_.match_value.empty())
             return true;
-        auto const value = field_value(head.fields, request_.match_field);
-        return value == request_.match_value;
+        // A second value is another response's, whose start was lost.
+        std::size_t equal = 0;
+        for (auto const& field : head.fields)
+            if (same_field_name(field.name, request_.match_field)) {
+                if (field.value != request_.match_value)
+                    return false;
+                ++equal;
+            }
+        return equal != 0;
     }
 
     void on_body(std::string_view part) {
--- /dev/null
+++ b/src/yuccabeam/http1/cut_answer_test.cpp
@@ -0,0 +1,124 @@
+#include "yuccabeam/http1/client.hpp"
+
+#include "answer_bytes.hpp"
+#include "scripted_peer.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace yuccabeam::http1;
+
+namespace {
+
+client_result ask(scripted_peer::reply const& reply,
+                  std::string const& method = "GET") {
+    asio::io_context context;
+    scripted_peer peer(context, {reply});
+    client client(context.get_executor());
+    std::optional<client_result> out;
+    client_request request;
+    request.address = peer.address();
+    request.method = method;
+    request.fields = {{"Host", "t"}};
+    request.match_field = "Id";
+    request.match_value = "r1";
+    request.connect_timeout = request.timeout = std::chrono::seconds(30);
+    client.start(request, [&](client_result result) { out = result; });
+    REQUIRE(run_until(context, [&] { return out.has_value(); }));
+    return *out;
+}
+
+// Feeds pieces of a size to the parser alone, then the end of input.
+struct parsed {
+    message_head head;
+    parser under_test;
+    std::size_t used = 0;
+
+    parsed(answer_bytes const& answer, std::string_view text, std::size_t piece)
+        : under_test(message_kind::response, {[&](message_head& seen) {
+                                                  head = seen;
+                                                  return answer.method ==
+                                                         "HEAD";
+                                              },
+                                              [](std::string_view) {}}) {
+        for (std::size_t at = 0; at < text.size(); at += piece)
+            feed(text.substr(at, piece));
+        under_test.end_of_input();
+    }
+
+    void feed(std::string_view text) {
+        while (!text.empty() && !under_test.failed()) {
+            auto const size = under_test.feed(text);
+            text.remove_prefix(size);
+            used += size;
+            if (!under_test.complete() || head.status >= 200)
+                return;
+            under_test.restart(); // behind an interim answer
+        }
+    }
+
+    bool whole() const {
+        return under_test.complete() && under_test.head_complete();
+    }
+};
+
+} // namespace
+
+// Guards against an answer that stops in its head or its body and counts as
+// whole.
+TEST_CASE("of an answer that is cut anywhere and closed only the whole one is "
+          "complete") {
+    for (auto const& answer : whole_answers) {
+        CAPTURE(answer.framing);
+        auto const text = answer.text();
+        for (std::size_t size = 0; size <= text.size(); ++size) {
+            CAPTURE(size);
+            auto const result =
+                ask({text.substr(0, size), true}, answer.method);
+            bool const complete = result.status == client_status::complete;
+            CHECK(complete == answer.is_whole(size));
+            if (complete)
+                CHECK(result.body == answer.body_of(size));
+        }
+    }
+}
+
+TEST_CASE("an answer that is cut anywhere and reset is never complete before "
+          "its last byte") {
+    for (auto const& answer : whole_answers) {
+        CAPTURE(answer.framing);
+        auto const text = answer.text();
+        for (std::size_t size = 0; size <= text.size(); ++size) {
+            CAPTURE(size);
+            auto const result =
+                ask({text.substr(0, size), false, true}, answer.method);
+            // The reset may overtake the last bytes.
+            if (answer.ends_with_connection || size < text.size())
+                CHECK(result.status != client_status::complete);
+        }
+    }
+}
+
+TEST_CASE("the parser takes a cut answer's end for no end, however its bytes "
+          "come") {
+    for (auto const& answer : whole_answers) {
+        CAPTURE(answer.framing);
+        auto const text = answer.text();
+        for (std::size_t size = 0; size <= text.size(); ++size)
+            for (std::size_t const piece :
+                 {std::size_t{1}, std::size_t{7}, text.size()}) {
+                CAPTURE(size);
+                CAPTURE(piece);
+                parsed const result(answer, text.substr(0, size), piece);
+                CHECK(result.used == size);
+                CHECK(result.whole() == answer.is_whole(size));
+            }
+    }
+}
+
+TEST_CASE("an answer whose end can't be known is never complete") {
+    for (auto const& answer : unframed_answers) {
+        CAPTURE(answer.guards);
+        auto const result = ask({answer.text, true});
+        CHECK(to_string(result.status) != to_string(client_status::complete));
+    }
+}
--- a/src/yuccabeam/http1/parser.cpp
+++ b/src/yuccabeam/http1/parser.cpp
@@ -8,6 +8,18 @@
 
 namespace yuccabeam::http1 {
 
+namespace {
+
+std::string_view trimmed(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+        text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+        text.remove_suffix(1);
+    return text;
+}
+
+} // namespace
+
 struct parser::implementation {
     message_kind kind;
     parser::callbacks callbacks;
@@ -38,7 +50,7 @@
             return 0;
         };
         settings.on_headers_complete = [](http_parser* p) {
-            return self(p).finish_head() ? 1 : 0;
+            return static_cast<int>(self(p).finish_head());
         };
         settings.on_body = [](http_parser* p, char const* at, std::size_t n) {
             self(p).callbacks.on_body({at, n});
@@ -94,7 +106,12 @@
         return size;
     }
 
-    bool finish_head() {
+    // What http_parser does after a head.
+    enum class after_head { failure = -1, body = 0, no_body = 1 };
+
+    after_head finish_head() {
+        if (!framing_is_known())
+            return after_head::failure;
         head_done = true;
         consumed_before_head_end =
             std::max(consumed_before_head_end, size_of_head());
@@ -106,14 +123,35 @@
         else
             head.status = static_cast<int>(state.status_code);
         set_framing();
-        return callbacks.on_head(head);
+        // http_parser reads a body after each length, also where there is
+        // none.
+        bool const skips = callbacks.on_head(head) || never_has_body();
+        return skips ? after_head::no_body : after_head::body;
+    }
+
+    // The end of a body in another encoding than plain chunks can't be found,
+    // and its bytes aren't what the sender means. http_parser reads such a
+    // response until the connection closes.
+    bool framing_is_known() const {
+        std::size_t encodings = 0;
+        bool plain = true;
+        for (auto const& field : head.fields) {
+            if (!same_field_name(field.name, "Transfer-Encoding"))
+                continue;
+            ++encodings;
+            plain = plain && same_field_name(trimmed(field.value), "chunked");
+        }
+        return encodings <= 1 && plain;
+    }
+
+    bool never_has_body() const {
+        return kind == message_kind::response &&
+               (head.status / 100 == 1 || head.status == 204 ||
+                head.status == 304);
     }
 
     void set_framing() {
-        bool const no_body = kind == message_kind::response &&
-                             (head.status / 100 == 1 || head.status == 204 ||
-                              head.status == 304);
-        if (no_body)
+        if (never_has_body())
             head.framing = body_framing::none;
         else if ((state.flags & F_CHUNKED) != 0)
             head.framing = body_framing::chunked;
@@ -203,14 +241,6 @@
     "Transfer-Encoding", "Trailer",    "Upgrade",
     "Content-Length"};
 
-std::string_view trimmed(std::string_view text) {
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
-        text.remove_prefix(1);
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
-        text.remove_suffix(1);
-    return text;
-}
-
 std::vector<std::string_view> named_by_connection(http_fields const& fields) {
     std::vector<std::string_view> names;
     for (auto const& field : fields) {
--- a/src/yuccabeam/http1/server_test.cpp
+++ b/src/yuccabeam/http1/server_test.cpp
@@ -86,6 +86,26 @@
      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
      "chunked\r\n\r\n0\r\n\r\n",
      400, 0},
+    {"a length that isn't there",
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length:\r\n\r\nabc", 400, 0},
+    {"a length with a rest",
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3x\r\n\r\nabc", 400, 0},
+    {"a length beyond 64 bits",
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+     "18446744073709551619\r\n\r\nabc",
+     400, 0},
+    {"a body in another encoding",
+     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, "
+     "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     400, 0},
+    {"the same in two fields",
+     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     400, 0},
+    {"a body whose end isn't known",
+     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+     "chunke\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     400, 0},
     {"two Host fields", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400,
      0},
     {"a body above the limit",
@@ -110,6 +130,37 @@
     }
 }
 
+// Guards against a caller's request that stops midway and is passed on.
+TEST_CASE("of a request that is cut anywhere only the whole one is handled") {
+    std::string const requests[] = {
+        "GET /a?b=c HTTP/1.1\r\nHost: h\r\nX: 1\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\n"
+        "twelve bytes",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\nA;x=y\r\nten bytes.\r\n0\r\nSum: 1\r\n\r\n"};
+    for (auto const& text : requests)
+        for (std::size_t size = 0; size <= text.size(); ++size)
+            for (bool const reset : {false, true}) {
+                CAPTURE(text);
+                CAPTURE(size);
+                CAPTURE(reset);
+                fixture f;
+                f.hold = true;
+                auto socket = f.connect();
+                while (f.under_test.connections() == 0)
+                    f.context.run_one();
+                asio::write(socket, asio::buffer(text.substr(0, size)));
+                if (reset)
+                    socket.set_option(asio::socket_base::linger(true, 0));
+                socket.close();
+                while (f.under_test.connections() != 0)
+                    f.context.run_one();
+                // A reset may overtake a whole request.
+                if (size < text.size() || !reset)
+                    CHECK(f.seen.size() == (size == text.size() ? 1 : 0));
+            }
+}
+
 TEST_CASE("requests sent ahead are answered one after the other") {
     fixture f;
     std::string const one =
