--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -67,6 +67,19 @@
     CHECK_FALSE(decode({}));
 }
 
+TEST_CASE("a peer's bytes that are cut anywhere are no message and no "
+          "changes") {
+    auto const message = encode(beat("10.0.0.1:7", "a"));
+    REQUIRE(decode(message));
+    for (std::size_t size = 0; size < message.size(); ++size)
+        CHECK_FALSE(decode(std::span(message).first(size)));
+    auto const changes =
+        encode_changes({3, 9, {{{"k", "v", 4}, false}}}, {"p"});
+    REQUIRE(decode_changes(changes));
+    for (std::size_t size = 0; size < changes.size(); ++size)
+        CHECK_FALSE(decode_changes(changes.substr(0, size)));
+}
+
 TEST_CASE("a grant of an impossible amount is refused") {
     for (double const amount : {-0.5, 1e9, std::nan("")}) {
         CAPTURE(amount);
