Send a request that comes to an address again on its own connection

Seen from callers: an idempotent request was answered 503 ("not run, try again") although a target was running it, when the target wrote the refusal of the first send once more on a kept connection.

Cause: the client tells answers apart by the request's id, and all attempts of one request carry the same id. An attempt that goes to the address of an earlier one could take the connection that the refusal had come on; a copy of that refusal then looked like the answer to the second send. Today this takes two targets at one address (a target that was started again under another name); it will be common once a request may ask the same target again. A request without an id took any answer on a kept connection.

Change: such an attempt opens its own connection, as a non-idempotent one always does. On a new connection no earlier send can have left bytes.

Ruled out: REFUSED and TWICE for non-idempotent requests. They never go out on a kept connection, and an answer with another id is skipped. The rows for them passed before the change and stay as tests.

Failed before: "a request that comes to the same address again isn't answered by the refusal of its earlier send", all four refusals (503 and 429 with the mark, 421 with and without it) in the idempotent half, caller's status 503 instead of 200, one connection instead of two; and the row "a request without id after a refusal" (503 instead of 200).

--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -166,12 +166,24 @@
         out.body = request_.request.body;
         out.connect_timeout = connect_timeout;
         out.timeout = time_left() + client_limit_margin;
-        out.reuse = current.may_reuse;
+        out.reuse = current.may_reuse && tells_answers_apart(attempt);
         out.match_field = parts_.headers.request_id;
         out.match_value = id_;
         return out;
     }
 
+    // All attempts carry one id, so a stray answer to an earlier one looks
+    // like the answer to this one on a connection that has served it.
+    bool tells_answers_apart(std::size_t attempt) const {
+        auto const current =
+            course_.attempts().begin() + static_cast<std::ptrdiff_t>(attempt);
+        auto const same_address = [&](auto const& earlier) {
+            return earlier.to.address == current->to.address;
+        };
+        return !id_.empty() &&
+               std::none_of(course_.attempts().begin(), current, same_address);
+    }
+
     http1::http_fields fields_for(target const& to) const {
         http1::http_fields out;
         for (auto& field :
--- a/src/yuccabeam/gateway/exchange_test.cpp
+++ b/src/yuccabeam/gateway/exchange_test.cpp
@@ -28,8 +28,8 @@
 };
 
 std::string answer(std::string const& status, std::string const& fields,
-                   std::string const& body) {
-    return "HTTP/1.1 " + status + "\r\nId: r1\r\n" + fields +
+                   std::string const& body, std::string const& id = "r1") {
+    return "HTTP/1.1 " + status + "\r\nId: " + id + "\r\n" + fields +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -67,10 +67,12 @@
         std::make_shared<recording_responder>();
 
     explicit fixture(std::vector<scripted_peer::reply> const& replies,
-                     std::size_t targets = 2) {
+                     std::size_t targets = 2, bool one_address = false) {
         std::vector<discovered_target> list;
         for (std::size_t i = 0; i < targets; ++i) {
-            peers.push_back(std::make_unique<scripted_peer>(context, replies));
+            if (peers.empty() || !one_address)
+                peers.push_back(
+                    std::make_unique<scripted_peer>(context, replies));
             discovered_target target;
             target.target = {{"t" + std::to_string(i)},
                              {"svc"},
@@ -81,21 +83,23 @@
         book.replace(list, false, adapters::boot_now());
     }
 
-    void run(bool idempotent) {
-        start(idempotent);
+    void run(bool idempotent, std::string const& id = "r1") {
+        caller->sent.reset();
+        start(idempotent, id);
         REQUIRE(http1::run_until(context,
                                  [&] { return caller->sent.has_value(); }));
     }
 
-    void start(bool idempotent) {
+    void start(bool idempotent, std::string const& id = "r1") {
         routed_request request;
         request.request.head.method = idempotent ? "GET" : "POST";
         request.request.head.target = "/x";
         request.request.head.fields = {{"Host", "h"},
-                                       {"Id", "r1"},
                                        {"Left-Ms", "20000"},
                                        {"Connection", "X-Hop"},
                                        {"X-Hop", "1"}};
+        if (!id.empty())
+            request.request.head.fields.push_back({"Id", id});
         request.request.first_byte = adapters::boot_now();
         request.responder = caller;
         request.route.id = {"route"};
@@ -267,3 +271,71 @@
     CHECK(f.caller->sends == 0);
     CHECK(f.book.beliefs(adapters::boot_now())[0].in_flight == 0);
 }
+
+// Guards against "not run" for a request that runs, and a second run of it,
+// when its target writes the refusal of an earlier send once more.
+TEST_CASE("a refusal counts only for the send that it answers") {
+    struct row {
+        std::string what;
+        bool first_idempotent;
+        std::string first_id;
+        std::string first_answer;
+        bool second_idempotent;
+        std::string second_id;
+        std::string second_answer;
+    };
+    auto const refused = [](std::string const& id) {
+        return answer("503 Busy", "Not-Run: 1\r\n", "", id);
+    };
+    auto const ran = [](std::string const& id) {
+        return answer("200 OK", "Proof: p\r\n", "ok", id);
+    };
+    // An idempotent request leaves a kept connection behind.
+    std::vector<row> const rows = {
+        {"an idempotent request after another's refusal", true, "r0",
+         refused("r0"), true, "r1", ran("r1")},
+        {"a non-idempotent request after another's refusal", true, "r0",
+         refused("r0"), false, "r1", ran("r1")},
+        {"a refused non-idempotent request before another", false, "r0",
+         refused("r0"), false, "r1", ran("r1")},
+        {"a request without id after a refusal", true, "", refused("r0"), true,
+         "", ran("r1")},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.what);
+        fixture f({{row.first_answer},
+                   {row.second_answer, false, false, "", row.first_answer}},
+                  1);
+        f.run(row.first_idempotent, row.first_id);
+        CHECK(f.caller->sent->status == 503);
+        f.run(row.second_idempotent, row.second_id);
+        CHECK(f.caller->sent->status == 200);
+        CHECK(f.arrivals() == 2);
+    }
+}
+
+TEST_CASE("a request that comes to the same address again isn't answered by "
+          "the refusal of its earlier send") {
+    std::string const refusals[] = {
+        declared, answer("429 Busy", "Not-Run: 1\r\n", ""),
+        answer("421 Other", "Not-Run: 1\r\n", ""), answer("421 Other", "", "")};
+    for (auto const& refusal : refusals)
+        for (bool const idempotent : {false, true}) {
+            CAPTURE(refusal);
+            CAPTURE(idempotent);
+            fixture f({{refusal}, {proven, false, false, "", refusal}}, 2,
+                      true);
+            f.run(idempotent);
+            CHECK(f.caller->sent->status == 200);
+            CHECK(f.arrivals() == 2);
+            CHECK(f.client.connections_opened() == 2);
+        }
+}
+
+TEST_CASE("a request whose second send may have run isn't called not run, "
+          "and runs no third time") {
+    fixture f({{declared}, {"", true, false, "", declared}, {proven}}, 3, true);
+    f.run(false);
+    CHECK(f.caller->sent->status == 502);
+    CHECK(f.arrivals() == 2);
+}
--- a/src/yuccabeam/http1/scripted_peer.hpp
+++ b/src/yuccabeam/http1/scripted_peer.hpp
@@ -21,6 +21,8 @@
         bool close = false;     ///< in order, after the bytes
         bool reset = false;     ///< after the bytes
         std::string repeated{}; ///< after the bytes, until the client closes
+        /// Before the bytes, on a connection that has served a request.
+        std::string ahead_if_kept{};
     };
 
     scripted_peer(asio::io_context& context, std::vector<reply> replies)
@@ -35,6 +37,13 @@
     /// Blocks until a connection waits to be accepted, so that its events are
     /// ready before the loop runs.
     void await_connection() { acceptor_.wait(tcp::acceptor::wait_read); }
+    /// Writes to the newest connection without being asked.
+    void send(std::string const& bytes) {
+        if (auto const session = newest_.lock()) {
+            std::error_code ignored;
+            asio::write(session->socket, asio::buffer(bytes), ignored);
+        }
+    }
     std::size_t connections() const { return connections_; }
     std::vector<std::string> const& requests() const { return requests_; }
     /// Bytes of endless replies that were sent or wait in socket buffers.
@@ -50,6 +59,7 @@
         scripted_peer& peer;
         std::array<char, 4096> buffer{};
         std::string input;
+        std::size_t served = 0;
 
         session(tcp::socket socket, scripted_peer& peer)
             : socket(std::move(socket)), peer(peer) {}
@@ -89,7 +99,9 @@
                 return;
             auto const& reply = peer.replies_[at];
             std::error_code ignored;
-            asio::write(socket, asio::buffer(reply.bytes), ignored);
+            auto const ahead =
+                served++ > 0 ? reply.ahead_if_kept : std::string();
+            asio::write(socket, asio::buffer(ahead + reply.bytes), ignored);
             if (!reply.repeated.empty()) {
                 ++peer.endless_connections_;
                 repeat(reply.repeated);
@@ -128,7 +140,10 @@
                 if (error)
                     return;
                 ++connections_;
-                std::make_shared<session>(std::move(socket), *this)->read();
+                auto const accepted =
+                    std::make_shared<session>(std::move(socket), *this);
+                newest_ = accepted;
+                accepted->read();
                 accept();
             });
     }
@@ -136,6 +151,7 @@
     tcp::acceptor acceptor_;
     std::vector<reply> replies_;
     std::size_t connections_ = 0;
+    std::weak_ptr<session> newest_;
     std::vector<std::string> requests_;
     std::size_t repeated_bytes_ = 0;
     std::size_t endless_connections_ = 0;
