Believe "not run" only from a status that promises it

Seen from callers: for a request that isn't idempotent, an answer that bore the not-run mark beside another status (200, 302, 500, 504) was taken as "not run": the request went to a second target and was then refused with 503, though the status says that it ran.

Cause: the mark alone decided, for all statuses but 400.

Change: the mark counts with 408, 421, 429 and 503, the statuses that are a promise. Beside a 5xx it is ignored (the target's own failure is passed on), beside any other status but 400 the answer is broken and the outcome unknown.

A 421 without the mark still counts as another target at the address, as the pages say of it.

Failed before: the rows 500, 504, 200 and 302 of "an answer counts as not run only with a mark and a status that promise it" (not_run instead of target_error or broken_answer), and two rows of "what a caller gets for what its targets do" (503 after two arrivals instead of 502 and 500 after one).

--- a/src/yuccabeam/gateway/answers.cpp
+++ b/src/yuccabeam/gateway/answers.cpp
@@ -23,10 +23,14 @@
                              header_names const& headers) {
     if (head.status == 421)
         return attempt_outcome::wrong_target;
-    if (has(head, headers.not_run) && head.status != 400)
+    bool const marked = has(head, headers.not_run);
+    if (marked && promises_not_run(head.status))
         return attempt_outcome::not_run;
     if (head.status >= 500 || promises_not_run(head.status))
         return attempt_outcome::target_error;
+    // The mark contradicts the status; a caller may not repeat after a 400.
+    if (marked && head.status != 400)
+        return attempt_outcome::broken_answer;
     // An answer without proof, or one that was encoded on its way, isn't what
     // the target made.
     if (head.status / 100 == 2 &&
