Keep no connection on which a stray response came

A target that writes an earlier response once more may do so again. The next request on that connection was protected by its id alone, and a response with two ids was judged by the first: one that carried the right id and another request's was taken, a refusal ("not run") included.

Change: a response whose ids differ belongs to no request, and a connection on which a response was skipped is closed after the awaited one. Interim responses don't count as stray.

The new table plays 12 stray and 2 interim responses at three moments (in the segment of the earlier response, while the connection is idle, after the next request was written) against the real client.

Nothing was wrong, and the tests stay: strays at the first two moments are never read; interim responses with the mark, refusals that break off, without a length or shorter than they say aren't taken; a call that timed out or was given up (the store's, a peer's) closes its connection, so that a late answer reaches no other call.

--- a/include/yuccabeam/http1/client.hpp
+++ b/include/yuccabeam/http1/client.hpp
@@ -25,9 +25,9 @@
     /// Takes an idle connection when there is one. A reused connection may
     /// close unseen, so a request that must not be lost opens its own.
     bool reuse = true;
-    /// Value that the response must carry in `match_field`; a response with
-    /// another value belongs to an earlier request and is skipped. Empty:
-    /// any response is taken.
+    /// Value that the response must carry in `match_field`, in each field of
+    /// that name; any other response belongs to an earlier request and is
+    /// skipped. Empty: any response is taken.
     std::string match_field;
     std::string match_value;
 };
--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -321,7 +321,9 @@
     }
 
     bool on_head(message_head& head) {
-        wanted_ = head.status >= 200 && matches(head);
+        bool const interim = head.status < 200;
+        wanted_ = !interim && matches(head);
+        stray_seen_ = stray_seen_ || !(wanted_ || interim);
         bool const without_body = request_.method == "HEAD";
         if (wanted_) {
             result_.head = head;
@@ -335,8 +337,15 @@
     bool matches(message_head const& head) const {
         if (request_.match_value.empty())
             return true;
-        auto const value = field_value(head.fields, request_.match_field);
-        return value == request_.match_value;
+        std::size_t matching = 0;
+        for (auto const& field : head.fields) {
+            if (!same_field_name(field.name, request_.match_field))
+                continue;
+            if (field.value != request_.match_value)
+                return false;
+            ++matching;
+        }
+        return matching > 0;
     }
 
     void on_body(std::string_view part) {
@@ -361,8 +370,10 @@
         }
         // A response before the request's end leaves the peer waiting for
         // the rest of the body, and bytes behind the response belong to no
-        // request: neither connection can serve again.
-        keep_ = result_.head.keep_alive && !bytes_left && written_;
+        // request, as may those behind a stray response: no such connection
+        // can serve again.
+        keep_ =
+            result_.head.keep_alive && !bytes_left && written_ && !stray_seen_;
         finish(client_status::complete);
     }
 
@@ -417,6 +428,7 @@
     std::uint64_t parsed_bytes_ = 0; ///< of all messages
     time_point started_{};
     bool wanted_ = false;
+    bool stray_seen_ = false; ///< a response to another request came
     bool written_ = false;
     bool keep_ = false;
     bool ended_ = false;
--- a/src/yuccabeam/http1/client_test.cpp
+++ b/src/yuccabeam/http1/client_test.cpp
@@ -9,14 +9,15 @@
 namespace {
 
 client_result ask(asio::io_context& context, client& client,
-                  scripted_peer const& peer, std::string method = "GET") {
+                  scripted_peer const& peer, std::string method = "GET",
+                  std::string id = "mine") {
     std::optional<client_result> out;
     client_request request;
     request.address = peer.address();
     request.method = std::move(method);
     request.fields = {{"Host", "t"}};
     request.match_field = "Id";
-    request.match_value = "mine";
+    request.match_value = std::move(id);
     request.connect_timeout = request.timeout = std::chrono::seconds(30);
     client.start(request, [&](client_result result) { out = result; });
     REQUIRE(run_until(context, [&] { return out.has_value(); }));
@@ -69,10 +70,135 @@
      {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nbad", true},
      client_status::reset,
      ""},
+    {"a response with its own and another request's id",
+     {"HTTP/1.1 200 OK\r\nId: mine\r\nId: other\r\n"
+      "Content-Length: 3\r\n\r\nbad",
+      true},
+     client_status::reset,
+     ""},
+    {"another request's response without a length hides what follows",
+     {"HTTP/1.1 503 Busy\r\nId: other\r\n\r\n" + good, true},
+     client_status::reset,
+     ""},
+    {"another request's response that is shorter than it says",
+     {"HTTP/1.1 503 Busy\r\nId: other\r\nContent-Length: 7\r\n\r\n" + good},
+     client_status::malformed,
+     ""},
+    {"a refusal that breaks off",
+     {"HTTP/1.1 503 Busy\r\nId: mine\r\nContent-Length: 5\r\n\r\nbu", true},
+     client_status::truncated,
+     "bu"},
+};
+
+std::string stray(std::string const& status, std::string const& ids) {
+    return "HTTP/1.1 " + status + "\r\n" + ids +
+           "Not-Run: 1\r\nContent-Length: 3\r\n\r\nbad";
+}
+
+struct stray_case {
+    std::string what;
+    std::string bytes;
+    bool interim = false; ///< part of the response that follows
+};
+
+std::vector<stray_case> const strays = {
+    {"a 503", stray("503 Busy", "Id: first\r\n")},
+    {"a 429", stray("429 Busy", "Id: first\r\n")},
+    {"a 421", stray("421 Other", "Id: first\r\n")},
+    {"a 400", stray("400 Bad", "Id: first\r\n")},
+    {"a success", stray("200 OK", "Id: first\r\n")},
+    {"a refusal twice",
+     stray("503 Busy", "Id: first\r\n") + stray("503 Busy", "Id: first\r\n")},
+    {"a refusal without id", stray("503 Busy", "")},
+    {"a refusal with an empty id", stray("503 Busy", "Id:\r\n")},
+    {"a refusal whose second id is right",
+     stray("503 Busy", "Id: first\r\nId: mine\r\n")},
+    {"a refusal whose first id is right",
+     stray("503 Busy", "Id: mine\r\nId: first\r\n")},
+    {"a refusal with a longer id", stray("503 Busy", "Id: mine1\r\n")},
+    {"a refusal without a body",
+     "HTTP/1.1 503 Busy\r\nId: first\r\nContent-Length: 0\r\n\r\n"},
+    {"an interim response with the mark",
+     "HTTP/1.1 102 Processing\r\nId: mine\r\nNot-Run: 1\r\n\r\n", true},
+    {"an interim response", "HTTP/1.1 100 Continue\r\n\r\n", true},
+};
+
+enum class moment { behind_earlier, while_idle, ahead_of_own };
+
+std::vector<std::pair<moment, std::string>> const moments = {
+    {moment::behind_earlier, "behind the earlier response"},
+    {moment::while_idle, "while the connection is idle"},
+    {moment::ahead_of_own, "when the next request has been written"},
 };
 
 } // namespace
 
+// Guards against a refusal or a body that another request is given.
+TEST_CASE("a response that a peer writes once more is given to no other "
+          "request, and its connection isn't kept") {
+    for (auto const& c : strays)
+        for (auto const& entry : moments) {
+            auto const moment = entry.first;
+            CAPTURE(c.what);
+            CAPTURE(entry.second);
+            auto const earlier =
+                "HTTP/1.1 503 Busy\r\nId: first\r\n"
+                "Content-Length: 0\r\n\r\n" +
+                (moment == moment::behind_earlier ? c.bytes : std::string());
+            auto const ahead =
+                moment == moment::ahead_of_own ? c.bytes : std::string();
+            asio::io_context context;
+            scripted_peer peer(
+                context, {{earlier}, {good, false, false, "", ahead}, {good}});
+            client client(context.get_executor());
+            CHECK(ask(context, client, peer, "GET", "first").head.status ==
+                  503);
+            if (moment == moment::while_idle)
+                peer.send(c.bytes);
+            auto const second = ask(context, client, peer);
+            CHECK(second.head.status == 200);
+            CHECK(second.body == "ok");
+            CHECK(second.reused == (moment == moment::ahead_of_own));
+            auto const third = ask(context, client, peer);
+            CHECK(third.body == "ok");
+            bool const two = moment != moment::ahead_of_own || !c.interim;
+            CHECK(client.connections_opened() == (two ? 2 : 1));
+        }
+}
+
+// Guards against a store's answer that the next call takes for its own.
+TEST_CASE("a connection whose call was given up or timed out isn't used "
+          "again") {
+    std::string const late = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad";
+    std::string const own = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (bool const times_out : {false, true}) {
+        CAPTURE(times_out);
+        asio::io_context context;
+        scripted_peer peer(context, {{""}, {own}});
+        client client(context.get_executor());
+        std::optional<client_result> first;
+        client_request request;
+        request.address = peer.address();
+        request.timeout =
+            times_out ? std::chrono::milliseconds(0) : std::chrono::seconds(30);
+        auto const call = client.start(
+            request, [&](client_result result) { first = result; });
+        peer.await_connection();
+        REQUIRE(run_until(context, [&] {
+            return !peer.requests().empty() && (!times_out || first);
+        }));
+        client::cancel(call);
+        peer.send(late);
+        std::optional<client_result> second;
+        request.timeout = std::chrono::seconds(30);
+        client.start(request, [&](client_result result) { second = result; });
+        REQUIRE(run_until(context, [&] { return second.has_value(); }));
+        CHECK(second->body == "ok");
+        CHECK_FALSE(second->reused);
+        CHECK(client.connections_opened() == 2);
+    }
+}
+
 TEST_CASE("what a response's bytes mean") {
     for (auto const& c : replies) {
         CAPTURE(c.guards);
