Read a response apart from its connection, and fuzz that

The client's rule which of the bytes of a connection are the response to its request stood among its sockets and timers, where no fuzz target could reach it. It is now response_reader, without input or output; the client keeps connections, limits of time and the pool. Nothing else changes for callers.

--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/adapters/address.hpp"
 #include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/http1/response_reader.hpp"
 #include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <array>
@@ -173,10 +174,7 @@
                 client::handler handler)
         : pool_(std::move(pool)), request_(std::move(request)),
           handler_(std::move(handler)), socket_(pool_->executor),
-          timer_(pool_->executor),
-          parser_(message_kind::response,
-                  {[this](message_head& head) { return on_head(head); },
-                   [this](std::string_view part) { on_body(part); }}) {}
+          timer_(pool_->executor), reader_(reader_options()) {}
 
     void start() {
         started_ = boot_now();
@@ -198,6 +196,13 @@
     }
 
 private:
+    response_reader_options reader_options() const {
+        auto const& limits = pool_->options;
+        return {request_.method == "HEAD", request_.match_field,
+                request_.match_value,      limits.max_response_bytes,
+                limits.max_head_bytes,     limits.max_overhead_bytes};
+    }
+
     void connect() {
         std::error_code error;
         auto const endpoint = endpoint_of(request_.address);
@@ -272,109 +277,44 @@
             on_input_end(error);
             return;
         }
-        consume({buffer_.data(), size});
-        if (!ended_)
-            read();
-    }
-
-    void consume(std::string_view bytes) {
         result_.head_seen = true;
-        result_.bytes_read += bytes.size();
-        while (!bytes.empty() && !ended_) {
-            auto const used = parser_.feed(bytes);
-            bytes.remove_prefix(used);
-            parsed_bytes_ += used;
-            if (parser_.failed()) {
-                finish(client_status::malformed);
-                return;
-            }
-            if (body_too_large_ || beyond_limits()) {
-                finish(client_status::too_large);
-                return;
-            }
-            if (parser_.complete())
-                on_message(!bytes.empty());
-            else
-                break;
-        }
-    }
-
-    bool beyond_limits() const {
-        auto const& limits = pool_->options;
-        auto const overhead = parsed_bytes_ - result_.body.size();
-        return parser_.head_bytes() > limits.max_head_bytes ||
-               overhead > limits.max_overhead_bytes;
+        result_.bytes_read += size;
+        if (reader_.feed({buffer_.data(), size}) == reading_state::incomplete)
+            read();
+        else
+            finish_reading();
     }
 
     void on_input_end(std::error_code error) {
-        if (error == asio::error::eof && parser_.head_complete() &&
-            result_.head.framing == body_framing::until_close && wanted_) {
-            parser_.end_of_input();
-            if (parser_.complete()) {
-                keep_ = false;
-                finish(client_status::complete);
-                return;
-            }
-        }
-        finish(parser_.head_complete() && wanted_ ? client_status::truncated
-                                                  : client_status::reset);
-    }
-
-    bool on_head(message_head& head) {
-        bool const interim = head.status < 200;
-        wanted_ = !interim && matches(head);
-        stray_seen_ = stray_seen_ || !(wanted_ || interim);
-        bool const without_body = request_.method == "HEAD";
-        if (wanted_) {
-            result_.head = head;
-            body_too_large_ =
-                !without_body &&
-                head.content_length > pool_->options.max_response_bytes;
-        }
-        return without_body;
-    }
-
-    bool matches(message_head const& head) const {
-        if (request_.match_value.empty())
-            return true;
-        std::size_t matching = 0;
-        for (auto const& field : head.fields) {
-            if (!same_field_name(field.name, request_.match_field))
-                continue;
-            if (field.value != request_.match_value)
-                return false;
-            ++matching;
-        }
-        return matching > 0;
+        if (error == asio::error::eof &&
+            reader_.end_of_input() == reading_state::complete)
+            finish_reading();
+        else
+            finish(reader_.head_complete() ? client_status::truncated
+                                           : client_status::reset);
     }
 
-    void on_body(std::string_view part) {
-        if (!wanted_ || body_too_large_)
-            return;
-        if (result_.body.size() + part.size() >
-            pool_->options.max_response_bytes) {
-            body_too_large_ = true;
-            return;
+    void finish_reading() {
+        switch (reader_.state()) {
+        case reading_state::complete:
+            finish(client_status::complete);
+            break;
+        case reading_state::too_large:
+            finish(client_status::too_large);
+            break;
+        default:
+            finish(client_status::malformed);
         }
-        if (result_.body.empty() &&
-            result_.head.framing == body_framing::length)
-            result_.body.reserve(result_.head.content_length);
-        result_.body += part;
     }
 
-    void on_message(bool bytes_left) {
-        if (!wanted_) {
-            // An interim or an earlier request's response.
-            parser_.restart();
-            return;
-        }
-        // A response before the request's end leaves the peer waiting for
-        // the rest of the body, and bytes behind the response belong to no
-        // request, as may those behind a stray response: no such connection
-        // can serve again.
-        keep_ =
-            result_.head.keep_alive && !bytes_left && written_ && !stray_seen_;
-        finish(client_status::complete);
+    // A response before the request's end leaves the peer waiting for the
+    // rest of the body, and bytes behind the response belong to no request,
+    // as may those behind a stray response.
+    bool may_serve_again() const {
+        return result_.status == client_status::complete &&
+               result_.head.keep_alive &&
+               result_.head.framing != body_framing::until_close && written_ &&
+               !reader_.bytes_left() && !reader_.stray_seen();
     }
 
     void set_limit(std::chrono::milliseconds after) {
@@ -393,7 +333,9 @@
         ended_ = true;
         result_.status = status;
         result_.total_time = boot_now() - started_;
-        if (status == client_status::complete && keep_)
+        result_.head = std::move(reader_.head);
+        result_.body = std::move(reader_.body);
+        if (may_serve_again())
             give_back();
         close();
         auto handler = std::exchange(handler_, nullptr);
@@ -421,18 +363,13 @@
     client::handler handler_;
     tcp::socket socket_;
     net::one_shot_timer timer_;
-    parser parser_;
+    response_reader reader_;
     client_result result_;
     std::string head_text_;
     std::array<char, read_size> buffer_{};
-    std::uint64_t parsed_bytes_ = 0; ///< of all messages
     time_point started_{};
-    bool wanted_ = false;
-    bool stray_seen_ = false; ///< a response to another request came
     bool written_ = false;
-    bool keep_ = false;
     bool ended_ = false;
-    bool body_too_large_ = false;
 };
 
 client::client(asio::any_io_executor executor, client_options options)
--- /dev/null
+++ b/src/yuccabeam/http1/response_reader_test.cpp
@@ -0,0 +1,89 @@
+#include "yuccabeam/http1/response_reader.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace yuccabeam::http1;
+
+namespace {
+
+response_reader_options awaiting(std::string id) {
+    response_reader_options out;
+    out.match_field = "Id";
+    out.match_value = std::move(id);
+    return out;
+}
+
+std::string const refusal =
+    "HTTP/1.1 503 Busy\r\nId: first\r\nNot-Run: 1\r\nContent-Length: 3\r\n"
+    "\r\nbad";
+std::string const chunked_refusal =
+    "HTTP/1.1 429 Busy\r\nId: first\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nbad\r\n0\r\nId: mine\r\n\r\n";
+std::string const interim =
+    "HTTP/1.1 102 Processing\r\nId: mine\r\nNot-Run: 1\r\n\r\n";
+std::string const own =
+    "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok";
+std::string const own_chunked =
+    "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1\r\no\r\n1\r\nk\r\n0\r\n\r\n";
+
+struct reading_case {
+    std::string what;
+    std::string bytes;
+    bool stray_seen;
+};
+
+std::vector<reading_case> const cases = {
+    {"the response alone", own, false},
+    {"a chunked response", own_chunked, false},
+    {"a refusal of another request first", refusal + own, true},
+    {"two of them", refusal + refusal + own, true},
+    {"a chunked one whose trailer has the right id", chunked_refusal + own,
+     true},
+    {"an interim response with the mark first", interim + own, false},
+    {"all of them", interim + refusal + interim + chunked_refusal + own_chunked,
+     true},
+};
+
+} // namespace
+
+// Guards against a response that is taken for another where segments end.
+TEST_CASE("the awaited response is found wherever its bytes are divided") {
+    for (auto const& c : cases)
+        for (std::size_t split = 0; split <= c.bytes.size(); ++split) {
+            CAPTURE(c.what);
+            CAPTURE(split);
+            response_reader reader(awaiting("mine"));
+            reader.feed(std::string_view(c.bytes).substr(0, split));
+            reader.feed(std::string_view(c.bytes).substr(split));
+            CHECK(reader.state() == reading_state::complete);
+            CHECK(reader.head.status == 200);
+            CHECK(reader.body == "ok");
+            CHECK(reader.stray_seen() == c.stray_seen);
+            CHECK_FALSE(reader.bytes_left());
+        }
+}
+
+TEST_CASE("bytes behind the awaited response are noticed in its segment") {
+    for (auto const& behind : {std::string("x"), refusal, own}) {
+        CAPTURE(behind);
+        response_reader reader(awaiting("mine"));
+        CHECK(reader.feed(own + behind) == reading_state::complete);
+        CHECK(reader.bytes_left());
+        CHECK(reader.body == "ok");
+    }
+}
+
+TEST_CASE("a response without a length ends with its connection, another "
+          "request's does not end as the awaited one") {
+    std::string const unframed = "HTTP/1.1 503 Busy\r\nId: mine\r\n\r\n" + own;
+    for (bool const awaited : {true, false}) {
+        CAPTURE(awaited);
+        response_reader reader(awaiting(awaited ? "mine" : "second"));
+        CHECK(reader.feed(unframed) == reading_state::incomplete);
+        CHECK(reader.head_complete() == awaited);
+        CHECK((reader.end_of_input() == reading_state::complete) == awaited);
+        CHECK(reader.head.status == (awaited ? 503 : 0));
+    }
+}
