Give yuccabeamd's callers no answer of an earlier request

Seen from callers of yuccabeamd: an idempotent request got the body of an earlier one (200 or 404), or a refusal that belonged to it, when its target wrote an answer once more.

Cause, two parts. libcurl 7.88 takes a kept connection from its pool although bytes wait on it, and reads them as the answer to the request that it writes next. And no id was compared, so a stray answer that came after the request was written counted as well; on a new connection too, where a non-idempotent request got it.

Change: before a request is written on a kept connection, the client looks whether bytes or the connection's end wait there; then libcurl closes it and the call starts again on another one, as nothing has been sent. libcurl names no socket to that hook, so the client keeps them by both ends of their connections. An answer that bears another Yuccabeam-Request-Id than the call's ends the call as malformed: unknown for a non-idempotent request, another target for an idempotent one. The stand-in target returns the field.

Not covered: a target that doesn't return the field and writes a stray answer between the request and its own answer. That would take a new connection for each request. All sends of one request carry one id, so two targets at one address, or a target that is asked again, would need what the gateway has.

--- a/include/yuccabeam/adapters/target_client.hpp
+++ b/include/yuccabeam/adapters/target_client.hpp
@@ -30,6 +30,11 @@
     /// itself when a reused connection closes before the answer, so requests
     /// that are not idempotent must set it.
     bool fresh_connection = false;
+    /// An answer that has `match_field` with another value than this belongs
+    /// to another request, and the call ends as malformed. Answers without
+    /// the field are taken.
+    std::string match_field;
+    std::string match_value;
     answer_limits limits;
 };
 
@@ -48,7 +53,7 @@
     reset,   ///< connection ended before the head of the answer
     timed_out,
     truncated, ///< connection ended or stalled inside the body
-    malformed, ///< the target sent bytes that are no answer
+    malformed, ///< the target sent bytes that are no answer to the call
     too_large, ///< one of the call's `answer_limits` was reached
     cancelled
 };
--- a/src/yuccabeam/adapters/target_client.cpp
+++ b/src/yuccabeam/adapters/target_client.cpp
@@ -1,8 +1,10 @@
 #include "yuccabeam/adapters/target_client.hpp"
 
 #include "curl_handle.hpp"
+#include "kept_sockets.hpp"
 #include "yuccabeam/adapters/clock.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <functional>
@@ -57,6 +59,18 @@
     duration until_head{};
     bool head_delivered = false;
     bool paused = false;
+    bool stray = false; ///< the answer belongs to another request
+    kept_sockets* sockets = nullptr;
+    curl_socket_t opened = CURL_SOCKET_BAD; ///< a new connection's
+    bool unclean = false; ///< the kept connection can't be used
+
+    bool is_stray() const {
+        return std::ranges::any_of(head_lines.fields, [this](auto const& f) {
+            return !call.match_field.empty() &&
+                   same_field_name(f.name, call.match_field) &&
+                   f.value != call.match_value;
+        });
+    }
 
     void deliver_head() {
         answer_head head;
@@ -80,6 +94,9 @@
         if (!transfer.head_delivered)
             add_header_line(transfer.head_lines, line);
     } else if (!transfer.head_delivered && transfer.head_lines.status >= 200) {
+        transfer.stray = transfer.is_stray();
+        if (transfer.stray)
+            return 0;
         transfer.deliver_head();
     }
     return size;
@@ -94,6 +111,24 @@
     return transfer.meter.add_body(size) ? size : 0;
 }
 
+int on_socket(void* self, curl_socket_t socket, curlsocktype) {
+    static_cast<struct transfer*>(self)->opened = socket;
+    return CURL_SOCKOPT_OK;
+}
+
+int before_request(void* self, char* target_ip, char* own_ip, int target_port,
+                   int own_port) {
+    auto& transfer = *static_cast<struct transfer*>(self);
+    auto ends = std::string(own_ip) + ' ' + std::to_string(own_port) + ' ' +
+                target_ip + ' ' + std::to_string(target_port);
+    auto const opened = std::exchange(transfer.opened, CURL_SOCKET_BAD);
+    if (opened != CURL_SOCKET_BAD)
+        transfer.sockets->add(std::move(ends), opened);
+    else
+        transfer.unclean = !transfer.sockets->is_reusable(ends);
+    return transfer.unclean ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 curl_easy_ptr make_easy(transfer& transfer) {
     curl_easy_ptr easy(curl_easy_init());
     auto* handle = easy.get();
@@ -120,6 +155,11 @@
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
     }
+    transfer.sockets->attach(handle);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, &transfer);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, before_request);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
     return easy;
 }
 
@@ -129,7 +169,7 @@
         return call_status::complete;
     if (transfer.meter.exceeded() || is_too_large(code))
         return call_status::too_large;
-    if (is_malformed(code))
+    if (transfer.stray || is_malformed(code))
         return call_status::malformed;
     if (transfer.head_delivered)
         return call_status::truncated;
@@ -170,6 +210,7 @@
     void start(std::unique_ptr<transfer> transfer) {
         auto* started = transfer.get();
         started->started = boot_now();
+        started->sockets = &sockets_;
         started->easy = make_easy(*started);
         deadlines_.emplace(started->started + started->call.head_timeout,
                            started->id);
@@ -221,12 +262,24 @@
             transfer* ended = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &ended);
             auto const code = message->data.result;
+            if (ended->unclean) {
+                restart(*ended);
+                continue;
+            }
             bool const sent =
                 code == CURLE_OK || !nothing_sent(message->easy_handle, code);
             end(*ended, status_of(code, *ended, sent), sent);
         }
     }
 
+    // Nothing of the request has been sent. libcurl has closed the unclean
+    // connection.
+    void restart(transfer& again) {
+        curl_multi_remove_handle(multi_.get(), again.easy.get());
+        again.unclean = false;
+        curl_multi_add_handle(multi_.get(), again.easy.get());
+    }
+
     void expire(time_point now) {
         while (!deadlines_.empty() && deadlines_.top().first <= now) {
             auto const id = deadlines_.top().second;
@@ -259,6 +312,7 @@
 
     using deadline = std::pair<time_point, call_id>;
 
+    kept_sockets sockets_; ///< outlives the connections
     curl_multi_ptr multi_;
     std::unordered_map<call_id, std::unique_ptr<transfer>> transfers_;
     std::priority_queue<deadline, std::vector<deadline>, std::greater<>>
--- a/src/yuccabeam/daemon/exchange.cpp
+++ b/src/yuccabeam/daemon/exchange.cpp
@@ -30,6 +30,7 @@
 // about the target when it passes.
 constexpr int tight_deadline_factor = 4;
 
+constexpr char const* request_id_field = "Yuccabeam-Request-Id";
 constexpr std::string_view not_run = "not-run";
 constexpr std::string_view unknown = "unknown";
 
@@ -142,11 +143,13 @@
     call.method = request_.method;
     call.request_target = request_.target;
     call.fields = fields_for_target(request_.fields);
-    call.fields.push_back({"Yuccabeam-Request-Id", log_.id});
+    call.fields.push_back({request_id_field, log_.id});
     call.head_timeout = left;
     call.connect_timeout = std::min(call.connect_timeout, left);
     call.body = request_.body;
     call.fresh_connection = !idempotent_;
+    call.match_field = request_id_field;
+    call.match_value = log_.id;
     if (phase_ == phase::streaming) {
         call.head_timeout = continuation_timeout;
         call.fields.push_back(
@@ -227,7 +230,7 @@
     phase_ = phase::streaming;
     download_ = resumable(request_.method, head);
     auto fields = fields_for_caller(head.fields);
-    fields.push_back({"Yuccabeam-Request-Id", log_.id});
+    fields.push_back({request_id_field, log_.id});
     if (!idempotent_)
         fields.push_back({"Yuccabeam-Ticket", owner_.tickets_->issue()});
     if (guard_)
--- a/src/yuccabeam/standins/target_server_test.cpp
+++ b/src/yuccabeam/standins/target_server_test.cpp
@@ -234,10 +234,12 @@
     for (int i = 0; i < 20; ++i) {
         auto const token = std::to_string(i);
         c.send("POST /x?chunked=" + std::to_string(i % 2) +
-                   " HTTP/1.1\r\nYuccabeam-Echo: " + token,
+                   " HTTP/1.1\r\nYuccabeam-Request-Id: r" + token +
+                   "\r\nYuccabeam-Echo: " + token,
                std::string(static_cast<std::size_t>(i) * 5000 + 1, 'a'));
         auto const answer = c.receive();
         CHECK(answer.header("Yuccabeam-Echo") == token);
+        CHECK(answer.header("Yuccabeam-Request-Id") == "r" + token);
         CHECK(answer.body.size() == static_cast<std::size_t>(i) * 5000 + 1);
     }
     c.send("HEAD /bytes/1000 HTTP/1.1");
--- a/src/yuccabeam/standins/target_session.cpp
+++ b/src/yuccabeam/standins/target_session.cpp
@@ -347,6 +347,10 @@
         phase_ = phase::writing;
         auto const& request = reader_.message();
         out.without_body = request.method == "HEAD";
+        if (auto const id = request.header("Yuccabeam-Request-Id"); !id.empty())
+            out.extra_headers.append("Yuccabeam-Request-Id: ")
+                .append(id)
+                .append("\r\n");
         if (!request.keep_alive || close_after_answer_)
             if (out.end == ending::keep)
                 out.end = ending::close;
