--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/http1/client.hpp"
 
 #include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/http1/response_reader.hpp"
 #include "yuccabeam/net/one_shot_timer.hpp"
 #include "yuccabeam/values/ip_address.hpp"
 
@@ -178,10 +179,7 @@
                 client::handler handler)
         : pool_(std::move(pool)), request_(std::move(request)),
           handler_(std::move(handler)), socket_(pool_->executor),
-          timer_(pool_->executor),
-          parser_(message_kind::response,
-                  {[this](message_head& head) { return on_head(head); },
-                   [this](std::string_view part) { on_body(part); }}) {}
+          timer_(pool_->executor), reader_(reader_options()) {}
 
     void start() {
         started_ = boot_now();
@@ -203,6 +201,13 @@
     }
 
 private:
+    response_reader_options reader_options() const {
+        auto const& limits = pool_->options;
+        return {request_.method == "HEAD", request_.match_field,
+                request_.match_value,      limits.max_response_bytes,
+                limits.max_head_bytes,     limits.max_overhead_bytes};
+    }
+
     void connect() {
         auto const endpoint = endpoint_of(request_.address);
         if (!endpoint) {
@@ -281,105 +286,44 @@
             on_input_end(error);
             return;
         }
-        consume({buffer_.data(), size});
-        if (!ended_)
-            read();
-    }
-
-    void consume(std::string_view bytes) {
         result_.head_seen = true;
-        result_.bytes_read += bytes.size();
-        while (!bytes.empty() && !ended_) {
-            auto const used = parser_.feed(bytes);
-            bytes.remove_prefix(used);
-            parsed_bytes_ += used;
-            if (parser_.failed()) {
-                finish(client_status::malformed);
-                return;
-            }
-            if (body_too_large_ || beyond_limits()) {
-                finish(client_status::too_large);
-                return;
-            }
-            if (parser_.complete())
-                on_message(!bytes.empty());
-            else
-                break;
-        }
-    }
-
-    bool beyond_limits() const {
-        auto const& limits = pool_->options;
-        auto const overhead = parsed_bytes_ - result_.body.size();
-        return parser_.head_bytes() > limits.max_head_bytes ||
-               overhead > limits.max_overhead_bytes;
+        result_.bytes_read += size;
+        if (reader_.feed({buffer_.data(), size}) == reading_state::incomplete)
+            read();
+        else
+            finish_reading();
     }
 
     void on_input_end(std::error_code error) {
-        if (error == asio::error::eof && parser_.head_complete() &&
-            result_.head.framing == body_framing::until_close && wanted_) {
-            parser_.end_of_input();
-            if (parser_.complete()) {
-                keep_ = false;
-                finish(client_status::complete);
-                return;
-            }
-        }
-        finish(parser_.head_complete() && wanted_ ? client_status::truncated
-                                                  : client_status::reset);
-    }
-
-    bool on_head(message_head& head) {
-        wanted_ = head.status >= 200 && matches(head);
-        bool const without_body = request_.method == "HEAD";
-        if (wanted_) {
-            result_.head = head;
-            body_too_large_ =
-                !without_body &&
-                head.content_length > pool_->options.max_response_bytes;
-        }
-        return without_body;
+        if (error == asio::error::eof &&
+            reader_.end_of_input() == reading_state::complete)
+            finish_reading();
+        else
+            finish(reader_.head_complete() ? client_status::truncated
+                                           : client_status::reset);
     }
 
-    bool matches(message_head const& head) const {
-        if (request_.match_value.empty())
-            return true;
-        // A second value is another response's, whose start was lost.
-        std::size_t equal = 0;
-        for (auto const& field : head.fields)
-            if (same_field_name(field.name, request_.match_field)) {
-                if (field.value != request_.match_value)
-                    return false;
-                ++equal;
-            }
-        return equal != 0;
-    }
-
-    void on_body(std::string_view part) {
-        if (!wanted_ || body_too_large_)
-            return;
-        if (result_.body.size() + part.size() >
-            pool_->options.max_response_bytes) {
-            body_too_large_ = true;
-            return;
+    void finish_reading() {
+        switch (reader_.state()) {
+        case reading_state::complete:
+            finish(client_status::complete);
+            break;
+        case reading_state::too_large:
+            finish(client_status::too_large);
+            break;
+        default:
+            finish(client_status::malformed);
         }
-        if (result_.body.empty() &&
-            result_.head.framing == body_framing::length)
-            result_.body.reserve(result_.head.content_length);
-        result_.body += part;
     }
 
-    void on_message(bool bytes_left) {
-        if (!wanted_) {
-            // An interim or an earlier request's response.
-            parser_.restart();
-            return;
-        }
-        // A response before the request's end leaves the peer waiting for
-        // the rest of the body, and bytes behind the response belong to no
-        // request: neither connection can serve again.
-        keep_ = result_.head.keep_alive && !bytes_left && written_;
-        finish(client_status::complete);
+    // A response before the request's end leaves the peer waiting for the
+    // rest of the body, and bytes behind the response belong to no request,
+    // as may those behind a stray response.
+    bool may_serve_again() const {
+        return result_.status == client_status::complete &&
+               result_.head.keep_alive &&
+               result_.head.framing != body_framing::until_close && written_ &&
+               !reader_.bytes_left() && !reader_.stray_seen();
     }
 
     void set_limit(std::chrono::milliseconds after) {
@@ -398,7 +342,9 @@
         ended_ = true;
         result_.status = status;
         result_.total_time = boot_now() - started_;
-        if (status == client_status::complete && keep_)
+        result_.head = std::move(reader_.head);
+        result_.body = std::move(reader_.body);
+        if (may_serve_again())
             give_back();
         close();
         auto handler = std::exchange(handler_, nullptr);
@@ -426,17 +372,13 @@
     client::handler handler_;
     tcp::socket socket_;
     net::one_shot_timer timer_;
-    parser parser_;
+    response_reader reader_;
     client_result result_;
     std::string head_text_;
     std::array<char, read_size> buffer_{};
-    std::uint64_t parsed_bytes_ = 0; ///< of all messages
     time_point started_{};
-    bool wanted_ = false;
     bool written_ = false;
-    bool keep_ = false;
     bool ended_ = false;
-    bool body_too_large_ = false;
 };
 
 client::client(asio::any_io_executor executor, client_options options)
