Ask no target again that still has the request

When a hedge then could not connect, the request went to the same target a second time at once.

The test failed before.

--- a/src/yuccabeam/placement/request_course.cpp
+++ b/src/yuccabeam/placement/request_course.cpp
@@ -84,6 +84,7 @@
     step.action = course_action::send;
     step.attempt = attempts_.size();
     tried_.push_back(attempt.to.id);
+    std::erase(again_, attempt.to.id);
     parts_.book.on_start(attempt.to.id);
     tell_activity(attempt.to.id, step);
     attempts_.push_back(std::move(attempt));
--- a/src/yuccabeam/placement/request_course_test.cpp
+++ b/src/yuccabeam/placement/request_course_test.cpp
@@ -218,6 +218,27 @@
     }
 }
 
+// Guards against a request that runs twice at one target at the same time.
+TEST_CASE("a target isn't asked again while it still has the request") {
+    fixture f(2);
+    f.book.on_end({"t1"}, attempt_outcome::connect_failed, start, start);
+    auto course = f.course(true, 3);
+    auto const first = course.start(start);
+    auto const second = course.on_attempt_end(
+        first.attempt, attempt_outcome::kept_reset, start + 10ms);
+    REQUIRE(second.action == course_action::send);
+    REQUIRE(course.attempts()[second.attempt].to.id.value == "t0");
+    auto const due = course.next_check();
+    REQUIRE(due);
+    auto const third = course.on_check(*due);
+    REQUIRE(third.action == course_action::send);
+    REQUIRE(course.attempts()[third.attempt].to.id.value == "t1");
+    auto const end = course.on_attempt_end(
+        third.attempt, attempt_outcome::connect_failed, *due + 10ms);
+    CHECK(end.action == course_action::wait);
+    CHECK(course.running() == 1);
+}
+
 // Guards against credit that is spent on repeats of which none arrives.
 TEST_CASE("a repeat that can't be sent costs nothing") {
     repeat_budget budget({.fleet_slack = 10, .capacity = 10}, start - 1min,
