--- a/src/yuccabeam/standins/store_server_test.cpp
+++ b/src/yuccabeam/standins/store_server_test.cpp
@@ -140,7 +140,9 @@
           R"({"id":"e2","role":null})", R"({"id":"e2","leaving":"yes"})",
           R"({"id":"e2","failure_domain":{}})", "7", "null", "[]"}) {
         CAPTURE(odd);
-        service.call("PUT", "/v1/vms", "[" + odd + "," + good + "]");
+        auto list = "[" + odd;
+        list.append(",").append(good).append("]");
+        service.call("PUT", "/v1/vms", list);
         auto const vms = client.vms();
         REQUIRE(vms);
         CHECK(vms.value() == expected);
@@ -150,9 +152,9 @@
 TEST_CASE("a VM list that can't be held as JSON is a fault") {
     service const service;
     adapters::store_client client(service.address());
-    for (std::string const list :
-         {std::string("[1e400]"),
-          std::string(100'000, '[') + std::string(100'000, ']')}) {
+    std::string const lists[] = {"[1e400]", std::string(100'000, '[') +
+                                                std::string(100'000, ']')};
+    for (auto const& list : lists) {
         CAPTURE(list.substr(0, 20));
         service.call("PUT", "/v1/vms", list);
         CHECK_FALSE(client.vms());
--- a/src/yuccabeam/standins/target_server_test.cpp
+++ b/src/yuccabeam/standins/target_server_test.cpp
@@ -233,10 +233,10 @@
     CHECK(c.receive().header("Yuccabeam-Drain") == "1");
     for (int i = 0; i < 20; ++i) {
         auto const token = std::to_string(i);
-        c.send("POST /x?chunked=" + std::to_string(i % 2) +
-                   " HTTP/1.1\r\nYuccabeam-Request-Id: r" + token +
-                   "\r\nYuccabeam-Echo: " + token,
-               std::string(static_cast<std::size_t>(i) * 5000 + 1, 'a'));
+        auto head = "POST /x?chunked=" + std::to_string(i % 2);
+        head.append(" HTTP/1.1\r\nYuccabeam-Request-Id: r").append(token);
+        head.append("\r\nYuccabeam-Echo: ").append(token);
+        c.send(head, std::string(static_cast<std::size_t>(i) * 5000 + 1, 'a'));
         auto const answer = c.receive();
         CHECK(answer.header("Yuccabeam-Echo") == token);
         CHECK(answer.header("Yuccabeam-Request-Id") == "r" + token);
