Count the targets left to choose in one place

The end of an attempt asks target_book::others since the log tells what was missing, so has_choice was left to a test and a benchmark alone. Both use others; the test's assertion is the same, as it names no target to ask again.

--- a/include/yuccabeam/placement/target_book.hpp
+++ b/include/yuccabeam/placement/target_book.hpp
@@ -191,8 +191,6 @@
     std::optional<choice> choose(choice_request const& wanted, time_point now);
     /// True while the service's good targets have slots to spare.
     bool has_room(service_id const& service, time_point now) const;
-    /// True when `choose` would find a target.
-    bool has_choice(choice_request const& wanted, time_point now) const;
     /// The targets among which `choose` would find one.
     other_targets others(choice_request const& wanted, time_point now) const;
 
--- a/src/yuccabeam/bench/fleet_bench.cpp
+++ b/src/yuccabeam/bench/fleet_bench.cpp
@@ -121,8 +121,8 @@
     report("choose", 2'000, [&](std::size_t i) {
         return book.choose(wanted_of(i), now).has_value();
     });
-    report("has_choice", 2'000,
-           [&](std::size_t i) { return book.has_choice(wanted_of(i), now); });
+    report("others", 2'000,
+           [&](std::size_t i) { return book.others(wanted_of(i), now).left; });
     report("has_room", 2'000, [&](std::size_t i) {
         return book.has_room(wanted_of(i).service, now);
     });
--- a/src/yuccabeam/placement/target_book.cpp
+++ b/src/yuccabeam/placement/target_book.cpp
@@ -207,11 +207,6 @@
     return out;
 }
 
-bool target_book::has_choice(choice_request const& wanted,
-                             time_point now) const {
-    return !const_cast<target_book*>(this)->candidates(wanted, now).empty();
-}
-
 other_targets target_book::others(choice_request const& wanted,
                                   time_point now) const {
     other_targets out;
--- a/src/yuccabeam/placement/target_listing_test.cpp
+++ b/src/yuccabeam/placement/target_listing_test.cpp
@@ -160,7 +160,7 @@
         wanted.time_left = wanted.objective_left = 2s;
         for (duration later = 0ms; later < 3s; later += 50ms) {
             CAPTURE(to_milliseconds(later));
-            CHECK(book.has_choice(wanted, news + later) ==
+            CHECK((book.others(wanted, news + later).left > 0) ==
                   (later < row.used_for));
             if (later < row.used_for)
                 CHECK(row.listed_until + later < options.leaving_limit);
