Log and count which targets of a service get requests

Each daemon now keeps the time of the last request it knows of for each target, from its own requests, the reports of its failure domain's daemons, and notices. Once a second it writes a service_usage line for each service with a target out of use, and the metric yuccabeam_service_targets has the same numbers. No decision depends on them.

--- a/include/yuccabeam/gateway/counters.hpp
+++ b/include/yuccabeam/gateway/counters.hpp
@@ -31,6 +31,9 @@
     void set(std::string const& name, double value);
     void set_target(std::string_view target, std::string_view service,
                     double in_flight, bool suspected);
+    /// Sets the number of a service's targets in one state.
+    void set_service_targets(std::string_view service, std::string_view state,
+                             double count);
     /// Removes the gauges of all targets.
     void clear_targets();
 
--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -155,6 +155,12 @@
     duration suspected_for{}; ///< time since it became suspected
     bool vanished = false;    ///< its entry is gone
     bool replaced = false;    ///< another target has its address
+    bool full = false;        ///< ranks behind others as it was full
+    bool own_domain = false;  ///< in the failure domain of this daemon
+    /// Time since a request was last sent to the target, as far as this daemon
+    /// knows. Other daemons of this failure domain report all their requests,
+    /// those of other domains only a part.
+    duration idle{};
     std::optional<target_evidence> evidence; ///< the last
 };
 
@@ -211,7 +217,7 @@
     /// Counts the candidates of `choose`.
     other_targets others(choice_request const& wanted, time_point now) const;
 
-    void on_start(target_id const& id);
+    void on_start(target_id const& id, time_point now);
     /// Records the end of an attempt that began at `started`; returns the
     /// notice for the peers, if any.
     std::optional<target_notice> on_end(target_id const& id,
@@ -271,6 +277,7 @@
         duration unreachable_hold{};
         time_point full_until{};
         time_point warm_at{};
+        time_point last_request{}; ///< sent by any daemon, as far as known
         std::optional<time_point> vanished_at;
         bool address_reused = false;
         bool removal_confirmed = true; ///< not due to an outage of the store
--- a/src/yuccabeam/gateway/counters.cpp
+++ b/src/yuccabeam/gateway/counters.cpp
@@ -62,6 +62,11 @@
             .Name("yuccabeam_target_suspected")
             .Help("1 while this daemon suspects the target")
             .Register(registry);
+    prometheus::Family<prometheus::Gauge>& service_targets =
+        prometheus::BuildGauge()
+            .Name("yuccabeam_service_targets")
+            .Help("Targets of the service by state, as this daemon knows them")
+            .Register(registry);
     prometheus::Histogram& loop_delay =
         prometheus::BuildHistogram()
             .Name("yuccabeam_loop_late_seconds")
@@ -141,6 +146,13 @@
     self_->targets.emplace_back(&load, &suspicion);
 }
 
+void counters::set_service_targets(std::string_view service,
+                                   std::string_view state, double count) {
+    self_->service_targets
+        .Add({{"service", text_of(service)}, {"state", text_of(state)}})
+        .Set(count);
+}
+
 void counters::clear_targets() {
     for (auto const& [load, suspicion] : self_->targets) {
         self_->in_flight.Remove(load);
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -13,6 +13,7 @@
 #include "yuccabeam/gateway/store_sync.hpp"
 #include "yuccabeam/gateway/target_description.hpp"
 #include "yuccabeam/gateway/target_entries.hpp"
+#include "yuccabeam/gateway/usage_report.hpp"
 #include "yuccabeam/net/one_shot_timer.hpp"
 
 #include <asio.hpp>
@@ -104,6 +105,7 @@
     std::unique_ptr<http1::server> control;
     net::one_shot_timer ticker;
     time_point last_tick{};
+    usage_report usage;
 
     active_policy policies;
     request_router router;
@@ -379,6 +381,7 @@
                            {target_table, *store, log, targets, *callers,
                             peers.table()},
                            boot_now());
+                usage.set_gauges(target_table, counters, boot_now());
             },
             counters, [this] { return state(boot_now()); },
             [this](std::uint64_t revision) { return changes_after(revision); }};
@@ -477,6 +480,7 @@
     catch_up(now);
     router.expire(now);
     target_table.expire(now);
+    usage.on_tick(target_table, log, now);
     budgets.on_fleet_size(peers.table().known_count() + 1, now);
     for (auto const& [service, rate] : budgets.fleet_rates(now))
         target_table.loads().set_fleet_rate(service, rate);
--- /dev/null
+++ b/src/yuccabeam/gateway/usage_report.cpp
@@ -0,0 +1,62 @@
+#include "yuccabeam/gateway/usage_report.hpp"
+
+#include <string>
+
+namespace yuccabeam::gateway {
+
+namespace {
+
+using placement::service_usage;
+
+bool all_in_use(service_usage const& usage) {
+    return usage.suspected == 0 && usage.unreachable == 0 && usage.idle == 0;
+}
+
+telemetry::log_fields fields_of(service_id const& service,
+                                service_usage const& usage) {
+    return {
+        {"service", service.value},
+        {"targets", std::to_string(usage.targets)},
+        {"suspected", std::to_string(usage.suspected)},
+        {"unreachable", std::to_string(usage.unreachable)},
+        {"full", std::to_string(usage.full)},
+        {"idle", std::to_string(usage.idle)},
+        {"idle_suspected", std::to_string(usage.idle_suspected)},
+        {"domain_targets", std::to_string(usage.domain_targets)},
+        {"domain_idle", std::to_string(usage.domain_idle)},
+        {"domain_idle_suspected", std::to_string(usage.domain_idle_suspected)},
+        {"longest_domain_idle_ms",
+         std::to_string(to_milliseconds(usage.longest_domain_idle))}};
+}
+
+} // namespace
+
+void usage_report::on_tick(placement::target_table const& targets,
+                           telemetry::event_log& log, time_point now) {
+    if (now < next_)
+        return;
+    next_ = now + options_.period;
+    for (auto const& [service, usage] : placement::usage_by_service(
+             targets.snapshots(now), options_.idle_limit))
+        if (!all_in_use(usage))
+            log.write("service_usage", fields_of(service, usage));
+}
+
+void usage_report::set_gauges(placement::target_table const& targets,
+                              counters& out, time_point now) const {
+    for (auto const& [service, usage] : placement::usage_by_service(
+             targets.snapshots(now), options_.idle_limit)) {
+        auto const set = [&](std::string_view state, std::size_t count) {
+            out.set_service_targets(service.value, state,
+                                    static_cast<double>(count));
+        };
+        set("registered", usage.targets);
+        set("suspected", usage.suspected);
+        set("unreachable", usage.unreachable);
+        set("full", usage.full);
+        set("idle", usage.idle);
+        set("domain_idle", usage.domain_idle);
+    }
+}
+
+} // namespace yuccabeam::gateway
--- a/src/yuccabeam/placement/request_dispatch.cpp
+++ b/src/yuccabeam/placement/request_dispatch.cpp
@@ -86,7 +86,7 @@
     step.attempt = attempts_.size();
     tried_.push_back(attempt.to.id);
     std::erase(retryable_targets_, attempt.to.id);
-    dependencies_.table.on_start(attempt.to.id);
+    dependencies_.table.on_start(attempt.to.id, now);
     add_activity(attempt.to.id, step);
     attempts_.push_back(std::move(attempt));
     ++sent_;
--- a/src/yuccabeam/placement/target_listing.cpp
+++ b/src/yuccabeam/placement/target_listing.cpp
@@ -79,6 +79,7 @@
     if (!same_incarnation) {
         entry = {};
         entry.estimate = prior_estimate(options_.estimate, now);
+        entry.last_request = now;
     }
     bool const was_leaving = entry.info.leaving;
     bool const returned = entry.vanished_at.has_value();
--- a/src/yuccabeam/placement/target_table.cpp
+++ b/src/yuccabeam/placement/target_table.cpp
@@ -227,9 +227,12 @@
     return out;
 }
 
-void target_table::on_start(target_id const& id) {
-    if (auto* entry = find(id))
-        ++entry->in_flight;
+void target_table::on_start(target_id const& id, time_point now) {
+    auto* entry = find(id);
+    if (!entry)
+        return;
+    ++entry->in_flight;
+    entry->last_request = now;
 }
 
 void target_table::on_peer_activity(daemon_id const& peer,
@@ -238,6 +241,10 @@
     auto* entry = find(activity.target);
     if (!entry || entry->info.started_ms != activity.started_ms)
         return;
+    auto const known = entry->peers.find(peer);
+    if (activity.in_flight >
+        (known == entry->peers.end() ? 0 : known->second.in_flight))
+        entry->last_request = now;
     if (activity.in_flight == 0)
         entry->peers.erase(peer);
     else
@@ -251,8 +258,10 @@
         entry.domains.erase(domain);
     for (auto const& activity : activities)
         if (auto* entry = find(activity.target);
-            entry && entry->info.started_ms == activity.started_ms)
+            entry && entry->info.started_ms == activity.started_ms) {
             entry->domains[domain] = {activity.in_flight, now};
+            entry->last_request = now;
+        }
 }
 
 std::vector<target_activity>
@@ -383,6 +392,8 @@
     auto* entry = find(notice.target);
     if (!entry || entry->info.started_ms != notice.started_ms)
         return;
+    if (notice.kind != notice_kind::doubted)
+        entry->last_request = now;
     if (notice.kind != notice_kind::trial)
         entry->evidence = {notice.kind, false, now};
     switch (notice.kind) {
@@ -422,6 +433,9 @@
     out.unreachable = entry.unreachable(now);
     out.vanished = entry.vanished_at.has_value();
     out.replaced = entry.address_reused;
+    out.full = now < entry.full_until;
+    out.own_domain = entry.info.target.failure_domain == own_domain_;
+    out.idle = now - entry.last_request;
     out.failing = probability(entry, now);
     out.suspected = suspected(entry, now);
     if (out.suspected && entry.suspected_since)
--- a/src/yuccabeam/placement/target_table_test.cpp
+++ b/src/yuccabeam/placement/target_table_test.cpp
@@ -68,7 +68,7 @@
     for (int i = 0; i < requests; ++i)
         if (auto const choice = table.choose(wanted, now)) {
             sent.push_back(choice->target.target.id);
-            table.on_start(sent.back());
+            table.on_start(sent.back(), now);
             out.insert(sent.back().value);
         }
     for (auto const& id : sent)
@@ -145,7 +145,7 @@
     "one failure keeps non-idempotent requests away for seconds, not forever") {
     target_table table({"a"}, 1);
     table.replace(targets_named({"t1", "t2"}), false, start);
-    table.on_start({"t1"});
+    table.on_start({"t1"}, start);
     auto const notice =
         table.on_end({"t1"}, attempt_outcome::reset, start, start);
     REQUIRE(notice);
@@ -383,7 +383,7 @@
     target_table ahead({"b"}, 3);
     table.replace(list, false, start);
     peer.replace(list, false, start);
-    table.on_start({"t1"});
+    table.on_start({"t1"}, start);
     auto const notice =
         table.on_end({"t1"}, attempt_outcome::wrong_target, start, start);
     REQUIRE(notice);
@@ -448,7 +448,7 @@
     };
     auto const ends = [&](attempt_outcome outcome) {
         return [&table, outcome](time_point now) {
-            table.on_start({"t1"});
+            table.on_start({"t1"}, now);
             table.on_end({"t1"}, outcome, now, now);
         };
     };
