Show in the placement model that healthy targets go without requests

The model of the choice of targets now measures that share in sliding windows: a target counts once it has been healthy for 2 s after its own failures, or for 6 s after a planned trouble.

--- a/src/yuccabeam/bench/placement_bench.cpp
+++ b/src/yuccabeam/bench/placement_bench.cpp
@@ -27,6 +27,13 @@
     sum.failed += one.failed;
 }
 
+void add(usage_result& sum, usage_result const& one) {
+    sum.windows += one.windows;
+    sum.windows_below += one.windows_below;
+    sum.sum_of_shares += one.sum_of_shares;
+    sum.least_share = std::min(sum.least_share, one.least_share);
+}
+
 struct options {
     placement::target_table_options table;
     placement::dispatch_options dispatch;
@@ -132,6 +139,7 @@
                 sum.reasons[reason] += count;
             sum.repeat_share += one.repeat_share / FLAGS_seeds;
             sum.crossing_share += one.crossing_share / FLAGS_seeds;
+            add(sum.usage, one.usage);
         }
         nlohmann::json const line = {
             {"scenario", scenario.name},
@@ -139,7 +147,12 @@
             {"idempotent", report(sum.idempotent)},
             {"reasons", sum.reasons},
             {"repeat_share", sum.repeat_share},
-            {"crossing_share", sum.crossing_share}};
+            {"crossing_share", sum.crossing_share},
+            {"healthy_targets_used",
+             {{"least", sum.usage.least_share},
+              {"mean", sum.usage.mean_share()},
+              {"windows", sum.usage.windows},
+              {"windows_below", sum.usage.windows_below}}}};
         std::cout << line.dump() << "\n";
     }
     return 0;
--- a/src/yuccabeam/bench/placement_targets.cpp
+++ b/src/yuccabeam/bench/placement_targets.cpp
@@ -11,6 +11,10 @@
 constexpr std::size_t slots = 6;
 constexpr std::size_t queue_limit = 24;
 constexpr std::size_t connection_limit = 330;
+// A target counts as healthy this long after its own failures, and after a
+// trouble that was planned.
+constexpr duration own_recovery = std::chrono::seconds(2);
+constexpr duration trouble_recovery = std::chrono::seconds(6);
 
 duration exponential(duration mean, std::mt19937_64& random) {
     return from_seconds(
@@ -79,7 +83,11 @@
 // --- failures ---------------------------------------------------------------
 
 void model_targets::turn(std::size_t target) {
-    servers_[target].failing = happens(scenario_.failing_share);
+    auto& at = servers_[target];
+    bool const was_failing =
+        std::exchange(at.failing, happens(scenario_.failing_share));
+    if (was_failing && !at.failing)
+        at.healthy_from = std::max(at.healthy_from, time_.now() + own_recovery);
     time_.after(exponential(scenario_.turn_period, random_),
                 [this, target] { turn(target); });
 }
@@ -96,6 +104,7 @@
         for (std::size_t i = 0; i < period.targets; ++i) {
             servers_[i].trouble = target_trouble::none;
             servers_[i].slow_factor = 1;
+            servers_[i].healthy_from = time_.now() + trouble_recovery;
         }
     });
 }
@@ -120,6 +129,19 @@
     }
 }
 
+model_targets::healthy_usage model_targets::usage() const {
+    auto const from = time_.now() - scenario_.usage_window;
+    healthy_usage out;
+    for (auto const& at : servers_) {
+        if (at.failing || at.lost || at.trouble != target_trouble::none ||
+            at.healthy_from > from)
+            continue;
+        ++out.healthy;
+        out.used += at.last_arrival >= from;
+    }
+    return out;
+}
+
 // --- requests ---------------------------------------------------------------
 
 // A planned spell of resets takes the place of the target's own turns.
@@ -131,6 +153,7 @@
 
 void model_targets::arrive(std::size_t target, job_ptr const& work) {
     auto& to = servers_[target];
+    to.last_arrival = time_.now();
     if (work->cancelled)
         return;
     if (resets_request(to)) {
--- a/src/yuccabeam/bench/placement_targets.hpp
+++ b/src/yuccabeam/bench/placement_targets.hpp
@@ -54,6 +54,14 @@
     /// Targets whose entries are in the store.
     std::vector<discovered_target> listed() const;
 
+    /// Counts the targets that were healthy for the whole of the scenario's
+    /// usage window up to now, and of these the ones that got a request in it.
+    struct healthy_usage {
+        std::size_t healthy = 0;
+        std::size_t used = 0;
+    };
+    healthy_usage usage() const;
+
     std::uint64_t resets() const { return resets_; }
     double longest_queue() const { return longest_queue_; }
 
@@ -69,6 +77,8 @@
         std::vector<job_ptr> running = {};
         std::optional<loss_kind> lost = {};
         time_point lost_at{};
+        time_point last_arrival{};
+        time_point healthy_from{};
     };
 
     bool happens(double probability);
--- a/src/yuccabeam/bench/placement_world.cpp
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -19,6 +19,8 @@
 constexpr duration check_timeout = std::chrono::seconds(1);
 constexpr double tail_share = 0.01;
 constexpr double tail_factor = 5;
+constexpr duration usage_period = std::chrono::milliseconds(250);
+
 struct entry_vm {
     std::size_t domain = 0;
     std::shared_ptr<placement::target_table> table;
@@ -69,6 +71,7 @@
         next_request(true);
         next_request(false);
         next_check();
+        after(scenario_.usage_from, [this] { sample_usage(); });
         time_.run_until(time_point{} + scenario_.length);
         auto const asked = std::max<double>(
             1, static_cast<double>(result_.non_idempotent.asked +
@@ -382,6 +385,20 @@
               [this, from, count] { heartbeat(from, count + 1); });
     }
 
+    void sample_usage() {
+        auto const now = targets_.usage();
+        if (now.healthy >= scenario_.usage_least_targets) {
+            auto& usage = result_.usage;
+            auto const share = static_cast<double>(now.used) /
+                               static_cast<double>(now.healthy);
+            ++usage.windows;
+            usage.windows_below += share < scenario_.usage_share;
+            usage.least_share = std::min(usage.least_share, share);
+            usage.sum_of_shares += share;
+        }
+        after(usage_period, [this] { sample_usage(); });
+    }
+
     void tick() {
         for (std::size_t i = 0; i < daemons_.size(); ++i) {
             auto& vm = daemons_[i];
@@ -427,6 +444,10 @@
     return share(late, asked);
 }
 
+double usage_result::mean_share() const {
+    return windows == 0 ? 1 : sum_of_shares / static_cast<double>(windows);
+}
+
 placement_result run_placement(placement_scenario const& scenario,
                                placement::target_table_options const& table,
                                placement::dispatch_options const& dispatch) {
--- a/src/yuccabeam/bench/placement_world.hpp
+++ b/src/yuccabeam/bench/placement_world.hpp
@@ -93,6 +93,12 @@
     duration window_from{};
     duration window_length{};
     duration length = std::chrono::seconds(40);
+    /// From here on the use of healthy targets is measured. The windows slide;
+    /// those with fewer healthy targets than the least number don't count.
+    duration usage_from = std::chrono::seconds(10);
+    duration usage_window = std::chrono::seconds(2);
+    std::size_t usage_least_targets = 4;
+    double usage_share = 0.7;
     /// Between what a failure domain tells the others of its load.
     duration digest_period = std::chrono::milliseconds(100);
     std::size_t digest_targets = 35; ///< in one such message
@@ -112,6 +118,17 @@
     double served_share() const;
 };
 
+/// Share of the healthy targets that got a request in a window, over all
+/// windows from the scenario's `usage_from` on.
+struct usage_result {
+    std::uint64_t windows = 0;
+    std::uint64_t windows_below = 0; ///< with less than the least share
+    double least_share = 1;
+    double sum_of_shares = 0;
+
+    double mean_share() const;
+};
+
 struct placement_result {
     class_result non_idempotent;
     class_result idempotent;
@@ -123,6 +140,7 @@
     std::map<std::string, std::uint64_t> reasons; ///< of requests that failed
     class_result window; ///< of the scenario's window, checks included
     class_result window_checks;
+    usage_result usage;
     std::vector<time_point> request_times;
     std::vector<time_point> repeat_times; ///< arrivals beyond a request's first
 };
