Refuse requests that a stopping daemon can't finish

From reading, this could happen here: after 2.8 s the daemon closed idle connections only, so a request whose body ended later, or that came on a kept connection before a late tick, was passed on with 1 to 3 s left for work of that length.

The daemon now decides when a request is completely read: later than 2.8 s after the signal it answers 503 with Retry-After 0.05, which promises that the request has not run; queued requests get the same. Requests that were passed on before that are served on, as before.

Tests: request_router_test; its first two cases fail when close() does nothing (mutant), and no earlier code could refuse.

--- a/include/yuccabeam/gateway/drain.hpp
+++ b/include/yuccabeam/gateway/drain.hpp
@@ -15,8 +15,10 @@
     duration out_of_rotation = std::chrono::milliseconds(2'800);
     /// Time from the stop signal to the kill.
     duration grace = std::chrono::seconds(6);
-    /// Safety margin before the kill.
-    duration reserve = std::chrono::milliseconds(150);
+    /// Safety margin before the kill, in which the last responses leave and
+    /// the process exits; on a VM with a tenth of a core that takes some
+    /// hundred milliseconds.
+    duration reserve = std::chrono::milliseconds(400);
 };
 
 enum class drain_step {
@@ -27,12 +29,19 @@
     end
 };
 
+/// True if a daemon may pass on a request that is completely read `elapsed`
+/// after its stop signal. A later one could not end before the kill.
+constexpr bool accepts_requests(duration elapsed,
+                                drain_options const& options) {
+    return elapsed < options.out_of_rotation;
+}
+
 /// The step of a daemon's shutdown `elapsed` after its stop signal.
 constexpr drain_step next_drain_step(duration elapsed, std::size_t active,
                                      drain_options const& options) {
     if (elapsed >= options.grace - options.reserve)
         return drain_step::end;
-    if (elapsed < options.out_of_rotation)
+    if (accepts_requests(elapsed, options))
         return drain_step::serve;
     return active == 0 ? drain_step::end : drain_step::stop_accepting;
 }
--- a/src/yuccabeam/gateway/exchange_test.cpp
+++ b/src/yuccabeam/gateway/exchange_test.cpp
@@ -2,6 +2,7 @@
 
 #include "../http1/sample_responses.hpp"
 #include "../http1/scripted_peer.hpp"
+#include "recording_responder.hpp"
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/standins/endless_answer.hpp"
 
@@ -14,20 +15,6 @@
 
 namespace {
 
-struct recording_responder : http1::responder {
-    std::optional<http1::outgoing_response> sent;
-    int sends = 0;
-    std::function<void()> gone;
-
-    void send(http1::outgoing_response response) override {
-        ++sends;
-        sent = std::move(response);
-    }
-    void on_disconnect(std::function<void()> callback) override {
-        gone = std::move(callback);
-    }
-};
-
 std::string answer(std::string const& status, std::string const& fields,
                    std::string const& body, std::string const& id = "r1") {
     return "HTTP/1.1 " + status + "\r\nId: " + id + "\r\n" + fields +
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -79,6 +79,7 @@
     // Startup, readiness and shutdown.
     result<void> listen();
     bool ready() const;
+    bool accepts_requests(time_point now) const;
     void log_readiness_change();
     void schedule_tick();
     void record_loop_delay(duration delay);
@@ -418,6 +419,9 @@
     callers = std::make_unique<http1::server>(
         executor, [this] { return policies.policy().limits; },
         [this](http1::incoming_request request, http1::responder_ptr caller) {
+            // Not left to the next tick, which may be late.
+            if (!accepts_requests(boot_now()))
+                router.close();
             router.serve(std::move(request), std::move(caller));
         });
     auto const defaults = [] { return http1::caller_limits{}; };
@@ -509,17 +513,29 @@
     store->withdraw();
 }
 
+bool implementation::accepts_requests(time_point now) const {
+    return !stopping_since ||
+           gateway::accepts_requests(now - *stopping_since,
+                                     drain_options_of(settings));
+}
+
 void implementation::check_stop(time_point now) {
     if (!stopping_since)
         return;
-    auto const step = next_drain_step(now - *stopping_since, callers->active(),
-                                      drain_options_of(settings));
+    auto const elapsed = now - *stopping_since;
+    auto const step =
+        next_drain_step(elapsed, callers->active(), drain_options_of(settings));
     if (step == drain_step::serve)
         return;
+    router.close();
     callers->stop_accepting();
     callers->close_idle();
     if (step == drain_step::end) {
-        log.write("stopped", {{"active", std::to_string(callers->active())}});
+        auto const active = callers->active();
+        log.write("stopped",
+                  {{"active", std::to_string(active)},
+                   {"reason", active == 0 ? "drained" : "end_of_grace"},
+                   {"ms", std::to_string(to_milliseconds(elapsed))}});
         context.stop();
     }
 }
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -178,8 +178,12 @@
         drain_step expected;
     };
     row const rows[] = {
-        {0s, 0, drain_step::serve},          {2s, 0, drain_step::serve},
-        {3s, 1, drain_step::stop_accepting}, {3s, 0, drain_step::end},
+        {0s, 0, drain_step::serve},
+        {2s, 0, drain_step::serve},
+        {3s, 1, drain_step::stop_accepting},
+        {3s, 0, drain_step::end},
+        {5500ms, 1, drain_step::stop_accepting},
+        {5650ms, 1, drain_step::end}, // exits before the kill on a slow VM too
         {5900ms, 1, drain_step::end},
     };
     for (auto const& row : rows)
--- a/src/yuccabeam/gateway/request_router.cpp
+++ b/src/yuccabeam/gateway/request_router.cpp
@@ -12,11 +12,17 @@
 using adapters::boot_now;
 
 constexpr std::chrono::milliseconds retry_after_unready{300};
+// Another daemon can serve the request at once.
+constexpr std::chrono::milliseconds retry_after_stopping{50};
 
 } // namespace
 
 void request_router::serve(http1::incoming_request request,
                            http1::responder_ptr caller) {
+    if (closed_) {
+        refuse_stopping(request, *caller);
+        return;
+    }
     if (policies_.empty()) {
         dependencies_.counters.count("held_for_policy");
         if (auto refused = waiting_.add(
@@ -48,6 +54,19 @@
         refuse_without_policy(held);
 }
 
+void request_router::close() {
+    closed_ = true;
+    for (auto const& held : waiting_.take_all())
+        refuse_stopping(held.request, *held.caller);
+}
+
+void request_router::refuse_stopping(http1::incoming_request const& request,
+                                     http1::responder& caller) {
+    auto const id = request_id_of(request, dependencies_.headers);
+    log_refusal(id, "stopping");
+    caller.send(not_run_response(id, "stopping", retry_after_stopping));
+}
+
 void request_router::refuse_without_policy(pending_request const& held) {
     auto const id = request_id_of(held.request, dependencies_.headers);
     log_refusal(id, "no_policy");
--- /dev/null
+++ b/src/yuccabeam/gateway/request_router_test.cpp
@@ -0,0 +1,120 @@
+#include "yuccabeam/gateway/request_router.hpp"
+
+#include "recording_responder.hpp"
+#include "yuccabeam/gateway/drain.hpp"
+
+#include <asio.hpp>
+#include <doctest/doctest.h>
+
+using namespace yuccabeam;
+using namespace yuccabeam::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A router whose only target counts what is passed on to it.
+struct fixture {
+    asio::io_context context;
+    header_names names{"Id", "Left-Ms", "Expected", "Not-Run", "Proof"};
+    telemetry::event_log log{{"vm", -1}};
+    gateway::counters counters;
+    std::mt19937_64 random{1};
+    http1::client client{context.get_executor()};
+    placement::target_table target_table{{"a"}, 1};
+    placement::retry_budget budget{{}, time_point{}};
+    int passed_on = 0;
+    exchange_dependencies dependencies{
+        context.get_executor(),
+        client,
+        target_table,
+        log,
+        counters,
+        names,
+        random,
+        [this](auto const&) { return &budget; },
+        [](auto const&, time_point) { return false; },
+        [](auto const&, auto const&, bool) {},
+        [this](auto const&) { ++passed_on; }};
+    content_format format;
+    active_policy policies{format, log, counters};
+    request_router router{dependencies, policies};
+
+    fixture() {
+        format.policy_key = "config";
+        format.policy = [](std::string const&) -> result<traffic_policy> {
+            traffic_policy out;
+            out.revision = 1;
+            route all;
+            all.host = "h";
+            all.path_prefix = "/";
+            all.service = {"svc"};
+            all.timeout = 30s;
+            out.routes = {all};
+            return out;
+        };
+        discovered_target target;
+        target.target = {{"t"}, {"svc"}, {"a"}, "127.0.0.1:1"};
+        target_table.replace({target}, false, time_point{});
+    }
+
+    void configure() {
+        mirror::store_mirror store;
+        store.replace({{"config", "1", 1}}, 1);
+        policies.update(store, time_point{});
+    }
+
+    std::shared_ptr<recording_responder> serve() {
+        auto out = std::make_shared<recording_responder>();
+        http1::incoming_request request;
+        request.head.method = "POST";
+        request.head.target = "/x";
+        request.head.fields = {{"Host", "h"}, {"Id", "r1"}};
+        request.first_byte = time_point{} + 1'000'000h;
+        router.serve(std::move(request), out);
+        return out;
+    }
+};
+
+bool promises_not_run(recording_responder const& caller) {
+    return caller.sent && caller.sent->status == 503 &&
+           !http1::field_value(caller.sent->fields, "Retry-After").empty();
+}
+
+} // namespace
+
+// Guards against a request that is read late in the grace, passed on, and cut
+// without an answer at its end.
+TEST_CASE("a request that can't end before the kill is refused and not passed "
+          "on") {
+    fixture f;
+    f.configure();
+    f.serve();
+    REQUIRE(f.passed_on == 1);
+    f.router.close();
+    auto const late = f.serve();
+    CHECK(promises_not_run(*late));
+    CHECK(f.passed_on == 1);
+}
+
+// Guards against a queued request that gets no answer when its daemon stops.
+TEST_CASE("requests that wait for the first configuration are refused when the "
+          "daemon stops") {
+    fixture f;
+    auto const held = f.serve();
+    CHECK_FALSE(held->sent);
+    f.router.close();
+    CHECK(promises_not_run(*held));
+    f.configure();
+    f.router.serve_waiting();
+    CHECK(held->sends == 1);
+    CHECK(f.passed_on == 0);
+}
+
+// Guards against a limit for new requests that leaves no time to end them.
+TEST_CASE("requests are accepted while the load balancer may send them, and "
+          "not later than half of the grace") {
+    drain_options const options;
+    CHECK(accepts_requests(0s, options));
+    CHECK(accepts_requests(2'700ms, options));
+    CHECK_FALSE(accepts_requests(options.grace / 2, options));
+}
