--- a/include/yuccabeam/gateway/drain.hpp
+++ b/include/yuccabeam/gateway/drain.hpp
@@ -15,10 +15,8 @@
     duration out_of_rotation = std::chrono::milliseconds(2'800);
     /// Time from the stop signal to the kill.
     duration grace = std::chrono::seconds(6);
-    /// Safety margin before the kill, in which the last responses leave and
-    /// the process exits; on a VM with a tenth of a core that takes some
-    /// hundred milliseconds.
-    duration reserve = std::chrono::milliseconds(400);
+    /// Safety margin before the kill.
+    duration reserve = std::chrono::milliseconds(150);
 };
 
 enum class drain_step {
