--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -221,8 +221,9 @@
 /// No usable target stays without requests for long: after `max_idle` a first
 /// attempt of any request goes to it. After a failure or while it is suspected
 /// this is a trial too, limited by an allowance; otherwise the daemons of its
-/// failure domain see to it, as only they know all its requests. Of several trials that are due the
-/// target with the longest time without a request comes first.
+/// failure domain see to it, as only they know all its requests. Of several
+/// trials that are due the target with the longest time without a request comes
+/// first.
 class target_table {
 public:
     target_table(failure_domain_id own_domain, std::uint64_t seed,
--- a/src/yuccabeam/bench/placement_scenarios.cpp
+++ b/src/yuccabeam/bench/placement_scenarios.cpp
@@ -2,6 +2,26 @@
 
 namespace yuccabeam::bench {
 
+namespace {
+
+// The orders of the grown deployment at a ninth of its size, where single
+// targets make a difference.
+void add_ninths(std::vector<placement_scenario>& to) {
+    placement_scenario ninth = to[to.size() - 2];
+    ninth.name = "ninth_orders";
+    ninth.daemons = 21;
+    ninth.repeat_slack = 23;
+    ninth.targets = 27;
+    ninth.non_idempotent_per_s = 84;
+    to.push_back(ninth);
+    ninth.name = "ninth_orders_spell";
+    ninth.troubles = {{target_trouble::reset, 0.5, 19, std::chrono::seconds(14),
+                       std::chrono::seconds(6)}};
+    to.push_back(ninth);
+}
+
+} // namespace
+
 std::vector<placement_scenario> const& placement_scenarios() {
     using std::chrono::milliseconds;
     using std::chrono::seconds;
@@ -74,18 +94,7 @@
         grown.work = milliseconds(810);
         grown.timeout = seconds(6);
         out.push_back(grown);
-        // A ninth of the grown deployment: few targets, small daily numbers.
-        placement_scenario ninth = out[out.size() - 2];
-        ninth.name = "ninth_orders";
-        ninth.daemons = 21;
-        ninth.repeat_slack = 23;
-        ninth.targets = 27;
-        ninth.non_idempotent_per_s = 84;
-        out.push_back(ninth);
-        ninth.name = "ninth_orders_spell";
-        ninth.troubles = {
-            {target_trouble::reset, 0.5, 19, seconds(14), seconds(6)}};
-        out.push_back(ninth);
+        add_ninths(out);
         return out;
     }();
     return all;
--- a/src/yuccabeam/gateway/usage_report.cpp
+++ b/src/yuccabeam/gateway/usage_report.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/gateway/usage_report.hpp"
 
 #include <string>
+#include <utility>
 
 namespace yuccabeam::gateway {
 
@@ -46,16 +47,16 @@
                               counters& out, time_point now) const {
     for (auto const& [service, usage] : placement::usage_by_service(
              targets.snapshots(now), options_.idle_limit)) {
-        auto const set = [&](std::string_view state, std::size_t count) {
+        std::pair<char const*, std::size_t> const states[] = {
+            {"registered", usage.targets},
+            {"suspected", usage.suspected},
+            {"unreachable", usage.unreachable},
+            {"full", usage.full},
+            {"idle", usage.idle},
+            {"domain_idle", usage.domain_idle}};
+        for (auto const& [state, count] : states)
             out.set_service_targets(service.value, state,
                                     static_cast<double>(count));
-        };
-        set("registered", usage.targets);
-        set("suspected", usage.suspected);
-        set("unreachable", usage.unreachable);
-        set("full", usage.full);
-        set("idle", usage.idle);
-        set("domain_idle", usage.domain_idle);
     }
 }
 
