Split the gateway daemon's updates from its life cycle

The structure moves to a header of its own, and the functions on the store and the peers to gateway_daemon_updates.cpp; no function changes.

--- /dev/null
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "yuccabeam/gateway/gateway_daemon.hpp"
+
+#include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/gateway/active_policy.hpp"
+#include "yuccabeam/gateway/control_service.hpp"
+#include "yuccabeam/gateway/counters.hpp"
+#include "yuccabeam/gateway/peer_link.hpp"
+#include "yuccabeam/gateway/request_router.hpp"
+#include "yuccabeam/gateway/service_budgets.hpp"
+#include "yuccabeam/gateway/store_sync.hpp"
+#include "yuccabeam/gateway/target_entries.hpp"
+#include "yuccabeam/gateway/usage_report.hpp"
+#include "yuccabeam/net/one_shot_timer.hpp"
+
+#include <asio.hpp>
+#include <random>
+
+namespace yuccabeam::gateway {
+
+using adapters::boot_now;
+
+/// The parts of a daemon and what connects them. The member functions are
+/// defined in gateway_daemon.cpp, and those on the store and the peers in
+/// gateway_daemon_updates.cpp.
+struct gateway_daemon::implementation
+    : std::enable_shared_from_this<gateway_daemon::implementation> {
+    implementation(asio::io_context& context,
+                   yuccabeam::gateway::settings given_settings,
+                   yuccabeam::gateway::formats given_formats);
+
+    result<void> start();
+    void begin_stop();
+
+    // Store and configuration.
+    store_sync_callbacks store_callbacks();
+    void on_store_changed(mirror::store_changes const& changes,
+                          bool from_store);
+    void apply_targets(time_point now);
+
+    // Peers.
+    peer_link_callbacks peer_callbacks();
+    void fill_heartbeat(heartbeat& out);
+    void on_heartbeat(heartbeat const& message, bool is_new);
+    void on_target_notice(target_notice_message const& message);
+    void publish_notice(std::optional<placement::target_notice> const& notice,
+                        service_id const& service, bool retried);
+    bool may_retry(service_id const& id, time_point now);
+    void ask_for_credit(time_point now);
+    void catch_up(time_point now);
+    void pull_from_seed(time_point now);
+
+    // Requests.
+    exchange_dependencies make_exchange_dependencies();
+    void answer_readiness(http1::incoming_request const& request,
+                          http1::responder_ptr const& caller);
+
+    // Control address.
+    control_dependencies make_control_dependencies();
+    std::string changes_after(std::uint64_t revision);
+    daemon_state state(time_point now) const;
+
+    // Startup, readiness and shutdown.
+    result<void> listen();
+    bool ready() const;
+    bool accepts_requests(time_point now) const;
+    void log_readiness_change();
+    void schedule_tick();
+    void record_loop_delay(duration delay);
+    void on_tick(time_point now);
+    void check_stop(time_point now);
+
+    asio::io_context& context;
+    yuccabeam::gateway::settings settings;
+    yuccabeam::gateway::formats formats;
+    telemetry::event_log log;
+    yuccabeam::gateway::counters counters;
+    std::mt19937_64 random;
+
+    http1::client targets;
+    http1::client control_client;
+    placement::target_table target_table;
+    target_entries target_list;
+    service_budgets budgets;
+    peer_link peers;
+    std::shared_ptr<store_sync> store;
+    exchange_dependencies dependencies;
+    std::unique_ptr<http1::server> callers;
+    std::unique_ptr<http1::server> readiness;
+    std::unique_ptr<http1::server> control;
+    net::one_shot_timer ticker;
+    time_point last_tick{};
+    usage_report usage;
+
+    active_policy policies;
+    request_router router;
+    bool was_ready = false;
+    std::optional<time_point> stopping_since;
+    std::optional<time_point> last_outage;
+    bool announced_store_call_failure = false;
+    std::optional<time_point> behind_since;
+};
+
+} // namespace yuccabeam::gateway
