--- a/src/yuccabeam/placement/retry_budget_test.cpp
+++ b/src/yuccabeam/placement/retry_budget_test.cpp
@@ -427,3 +427,17 @@
     CHECK(most <= options.fleet_slack);
     CHECK(most >= options.fleet_slack / 2);
 }
+
+// Guards against a fleet that never retries as no daemon can hold the credit
+// for one retry.
+TEST_CASE("a daemon that has earned many retries may make one, however small "
+          "its share of the slack is") {
+    retry_budget_options options;
+    options.fleet_slack = 23;
+    retry_budget budget(options, start);
+    budget.on_fleet_size(21, start);
+    auto now = start + 1s;
+    for (int i = 0; i < 100; ++i, now += 100ms)
+        budget.on_request(now);
+    CHECK(budget.allows(now));
+}
