--- a/src/yuccabeam/gateway/exchange_test.cpp
+++ b/src/yuccabeam/gateway/exchange_test.cpp
@@ -2,12 +2,11 @@
 
 #include "../http1/sample_responses.hpp"
 #include "../http1/scripted_peer.hpp"
-#include "recording_responder.hpp"
+#include "exchange_fixture.hpp"
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/standins/endless_answer.hpp"
 
 #include <doctest/doctest.h>
-#include <fcntl.h>
 
 using namespace yuccabeam;
 using namespace yuccabeam::gateway;
@@ -26,32 +25,8 @@
 
 // Two targets with scripted responses. Which of them gets the request first is
 // random, so both have the same first response.
-struct fixture {
-    asio::io_context context;
+struct fixture : exchange_environment {
     std::vector<std::unique_ptr<scripted_peer>> peers;
-    header_names names{"Id", "Left-Ms", "Expected", "Not-Run", "Proof"};
-    telemetry::event_log log{{"vm", open("/dev/null", O_WRONLY)}};
-    gateway::counters counters;
-    std::mt19937_64 random{1};
-    http1::client client{context.get_executor()};
-    placement::target_table target_table{{"a"}, 1};
-    placement::retry_budget budget{{}, time_point{}};
-    int retries_reported = 0;
-    bool may_retry = true;
-    exchange_dependencies dependencies{
-        context.get_executor(),
-        client,
-        target_table,
-        log,
-        counters,
-        names,
-        random,
-        [this](auto const&) { return &budget; },
-        [this](auto const&, time_point) { return may_retry; },
-        [this](auto const&, auto const&, bool retried) {
-            retries_reported += retried;
-        },
-        [](auto const&) {}};
     std::shared_ptr<recording_responder> caller =
         std::make_shared<recording_responder>();
 
--- a/src/yuccabeam/gateway/request_router_test.cpp
+++ b/src/yuccabeam/gateway/request_router_test.cpp
@@ -1,9 +1,8 @@
 #include "yuccabeam/gateway/request_router.hpp"
 
-#include "recording_responder.hpp"
+#include "exchange_fixture.hpp"
 #include "yuccabeam/gateway/drain.hpp"
 
-#include <asio.hpp>
 #include <doctest/doctest.h>
 
 using namespace yuccabeam;
@@ -12,29 +11,8 @@
 
 namespace {
 
-// A router whose only target counts what is passed on to it.
-struct fixture {
-    asio::io_context context;
-    header_names names{"Id", "Left-Ms", "Expected", "Not-Run", "Proof"};
-    telemetry::event_log log{{"vm", -1}};
-    gateway::counters counters;
-    std::mt19937_64 random{1};
-    http1::client client{context.get_executor()};
-    placement::target_table target_table{{"a"}, 1};
-    placement::retry_budget budget{{}, time_point{}};
-    int passed_on = 0;
-    exchange_dependencies dependencies{
-        context.get_executor(),
-        client,
-        target_table,
-        log,
-        counters,
-        names,
-        random,
-        [this](auto const&) { return &budget; },
-        [](auto const&, time_point) { return false; },
-        [](auto const&, auto const&, bool) {},
-        [this](auto const&) { ++passed_on; }};
+// A router with one target.
+struct fixture : exchange_environment {
     content_format format;
     active_policy policies{format, log, counters};
     request_router router{dependencies, policies};
@@ -89,11 +67,11 @@
     fixture f;
     f.configure();
     f.serve();
-    REQUIRE(f.passed_on == 1);
+    REQUIRE(f.activities_reported == 1);
     f.router.close();
     auto const late = f.serve();
     CHECK(promises_not_run(*late));
-    CHECK(f.passed_on == 1);
+    CHECK(f.activities_reported == 1);
 }
 
 // Guards against a queued request that gets no answer when its daemon stops.
@@ -107,7 +85,7 @@
     f.configure();
     f.router.serve_waiting();
     CHECK(held->sends == 1);
-    CHECK(f.passed_on == 0);
+    CHECK(f.activities_reported == 0);
 }
 
 // Guards against a limit for new requests that leaves no time to end them.
