Share the typed MessagePack archive of the codec

Change: the writer and the reader move to a public header and get signed numbers, floating-point numbers, enumerations with a last value, a limit of the text length, and the decoding of a variant by its index. The wire format of the codec's messages is unchanged: codec_test passes (7 cases).

--- a/include/yuccabeam/codec/message.hpp
+++ b/include/yuccabeam/codec/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/codec/message_fault.hpp"
 #include "yuccabeam/health/messages.hpp"
 #include "yuccabeam/membership/messages.hpp"
 #include "yuccabeam/values/fault.hpp"
@@ -24,12 +25,6 @@
 /// Encodes a message as a MessagePack array of its kind and its fields.
 bytes encode(message const& value);
 
-enum class message_fault {
-    malformed,    ///< not MessagePack, or a field of another type
-    unknown_kind, ///< a kind of message unknown to this version
-    out_of_range  ///< a field outside its limits
-};
-
 /// Decodes what `encode` wrote. Extra fields at the end of a message, which
 /// a later version may add, are ignored; trailing bytes are malformed.
 using decoded = std::variant<message, message_fault>;
--- a/src/yuccabeam/codec/envelope.cpp
+++ b/src/yuccabeam/codec/envelope.cpp
@@ -36,6 +36,7 @@
     case message_fault::out_of_range:
         return drop_reason::out_of_range;
     case message_fault::malformed:
+    case message_fault::unknown_version:
         break;
     }
     return drop_reason::malformed;
--- a/src/yuccabeam/codec/health_fields.hpp
+++ b/src/yuccabeam/codec/health_fields.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "fields.hpp"
-
+#include "yuccabeam/codec/record_archive.hpp"
 #include "yuccabeam/health/messages.hpp"
 
 namespace yuccabeam::codec {
--- a/src/yuccabeam/codec/membership_fields.hpp
+++ b/src/yuccabeam/codec/membership_fields.hpp
@@ -1,9 +1,16 @@
 #pragma once
 
-#include "fields.hpp"
-
+#include "yuccabeam/codec/record_archive.hpp"
 #include "yuccabeam/membership/messages.hpp"
 
+namespace yuccabeam::membership {
+
+constexpr member_status last_value(member_status) {
+    return member_status::left;
+}
+
+} // namespace yuccabeam::membership
+
 namespace yuccabeam::codec {
 
 /// Member info that only `alive` updates carry. In other updates it is empty
