Send a datagram to many peers from one buffer

Cause: each of up to 291 receivers of a message cost a copy of the bytes, a posted handler and a reactor operation.

--- a/include/yuccabeam/net/peer_transport.hpp
+++ b/include/yuccabeam/net/peer_transport.hpp
@@ -74,6 +74,9 @@
     /// Sends one datagram. A datagram that can't be sent is dropped and
     /// counted.
     void send(std::vector<std::uint8_t> data, std::string const& to);
+    /// Sends the same datagram to each address.
+    void send_to_all(std::vector<std::uint8_t> data,
+                     std::vector<std::string> const& addresses);
 
     /// Bound address, with the actual port when port 0 was requested.
     std::string const& local_address() const;
--- a/src/yuccabeam/net/peer_transport.cpp
+++ b/src/yuccabeam/net/peer_transport.cpp
@@ -68,6 +68,8 @@
             socket_.bind(endpoint, error);
         if (!error)
             local_address_ = format_endpoint(socket_.local_endpoint(error));
+        if (!error)
+            socket_.non_blocking(true, error);
         return error;
     }
 
@@ -75,40 +77,27 @@
         asio::post(strand_, [self = shared_from_this()] { self->receive(); });
     }
 
-    void send(std::vector<std::uint8_t> data, std::string const& to) {
-        auto const endpoint = parse_endpoint(to);
-        duration delay{};
-        {
-            std::lock_guard const lock(mutex_);
-            if (closed_)
-                return;
-            if (data.size() > settings_.max_datagram_bytes) {
-                ++counters_.dropped_oversized;
-                return;
-            }
-            if (!endpoint || endpoint->port() == 0) {
-                ++counters_.dropped_bad_address;
-                return;
-            }
-            if (is_dropped(to, &link_fault::drop_sent))
-                return;
-            if (queued_ >= settings_.max_queued_datagrams) {
-                ++counters_.dropped_queue_full;
-                return;
-            }
-            ++queued_;
-            auto const fault = faults_.find(to);
-            if (fault != faults_.end())
-                delay = fault->second.delay_sent;
+    void send_to_all(std::vector<std::uint8_t> data,
+                     std::vector<std::string> const& addresses) {
+        auto const shared =
+            std::make_shared<std::vector<std::uint8_t> const>(std::move(data));
+        std::vector<outgoing_datagram> immediate;
+        immediate.reserve(addresses.size());
+        for (auto const& to : addresses) {
+            duration delay{};
+            auto const endpoint = accept(*shared, to, delay);
+            if (endpoint && delay > duration::zero())
+                send_after(delay, {shared, *endpoint});
+            else if (endpoint)
+                immediate.push_back({shared, *endpoint});
         }
-        outgoing_datagram next{std::move(data), *endpoint};
-        auto self = shared_from_this();
-        if (delay > duration::zero())
-            send_after(delay, std::move(next));
-        else
-            asio::post(strand_, [self, next = std::move(next)]() mutable {
+        if (immediate.empty())
+            return;
+        asio::post(strand_, [self = shared_from_this(),
+                             immediate = std::move(immediate)]() mutable {
+            for (auto& next : immediate)
                 self->enqueue(std::move(next));
-            });
+        });
     }
 
     void set_faults(std::map<std::string, link_fault> by_address) {
@@ -138,10 +127,39 @@
 
 private:
     struct outgoing_datagram {
-        std::vector<std::uint8_t> data;
+        std::shared_ptr<std::vector<std::uint8_t> const> data;
         udp::endpoint to;
     };
 
+    // Returns nothing for a datagram that is dropped.
+    std::optional<udp::endpoint> accept(std::vector<std::uint8_t> const& data,
+                                        std::string const& to,
+                                        duration& delay) {
+        auto const endpoint = parse_endpoint(to);
+        std::lock_guard const lock(mutex_);
+        if (closed_)
+            return std::nullopt;
+        if (data.size() > settings_.max_datagram_bytes) {
+            ++counters_.dropped_oversized;
+            return std::nullopt;
+        }
+        if (!endpoint || endpoint->port() == 0) {
+            ++counters_.dropped_bad_address;
+            return std::nullopt;
+        }
+        if (is_dropped(to, &link_fault::drop_sent))
+            return std::nullopt;
+        if (queued_ >= settings_.max_queued_datagrams) {
+            ++counters_.dropped_queue_full;
+            return std::nullopt;
+        }
+        ++queued_;
+        auto const fault = faults_.find(to);
+        if (fault != faults_.end())
+            delay = fault->second.delay_sent;
+        return endpoint;
+    }
+
     // Requires that the caller holds mutex_.
     bool is_dropped(std::string const& address, double link_fault::*share) {
         auto const fault = faults_.find(address);
@@ -167,25 +185,38 @@
     }
 
     void enqueue(outgoing_datagram next) {
+        if (queue_.empty() && send_now(next))
+            return;
         queue_.push_back(std::move(next));
         if (queue_.size() == 1)
             send_next();
     }
 
+    // Returns false if the socket's buffer is full.
+    bool send_now(outgoing_datagram const& next) {
+        std::error_code error;
+        auto const bytes =
+            socket_.send_to(asio::buffer(*next.data), next.to, 0, error);
+        if (error == asio::error::would_block)
+            return false;
+        on_sent(error, bytes);
+        return true;
+    }
+
+    void on_sent(std::error_code error, std::size_t bytes) {
+        std::lock_guard const lock(mutex_);
+        --queued_;
+        counters_.send_errors += error ? 1 : 0;
+        counters_.sent += error ? 0 : 1;
+        counters_.sent_bytes += error ? 0 : bytes;
+    }
+
     void send_next() {
         auto const& first = queue_.front();
-        socket_.async_send_to(asio::buffer(first.data), first.to,
+        socket_.async_send_to(asio::buffer(*first.data), first.to,
                               [self = shared_from_this()](std::error_code error,
                                                           std::size_t bytes) {
-                                  {
-                                      std::lock_guard const lock(self->mutex_);
-                                      --self->queued_;
-                                      self->counters_.send_errors +=
-                                          error ? 1 : 0;
-                                      self->counters_.sent += error ? 0 : 1;
-                                      self->counters_.sent_bytes +=
-                                          error ? 0 : bytes;
-                                  }
+                                  self->on_sent(error, bytes);
                                   self->queue_.pop_front();
                                   if (!self->queue_.empty())
                                       self->send_next();
@@ -276,7 +307,12 @@
 
 void peer_transport::send(std::vector<std::uint8_t> data,
                           std::string const& to) {
-    impl_->send(std::move(data), to);
+    impl_->send_to_all(std::move(data), {to});
+}
+
+void peer_transport::send_to_all(std::vector<std::uint8_t> data,
+                                 std::vector<std::string> const& addresses) {
+    impl_->send_to_all(std::move(data), addresses);
 }
 
 std::string const& peer_transport::local_address() const {
