Index the targets of a table by service and by a compact key

Cause: each choice and each look at spare capacity passed over the targets of all services, expire() over all targets in every tick, and a load report of another failure domain over all targets again; loads could only be exchanged under text ids.

Change: indexes by service and by a 64-bit key of id and incarnation; expire() returns at once when nothing has vanished; a domain's report clears only what its last one listed. Loads that a relay has summed are kept apart from those of subscribers. A due trial of a target in another failure domain is left to that domain while it reports only a part of its loads. Request rates are scaled up when not all peers have reported recently.

--- a/include/yuccabeam/placement/fleet_budget.hpp
+++ b/include/yuccabeam/placement/fleet_budget.hpp
@@ -4,6 +4,7 @@
 #include "yuccabeam/values/ids.hpp"
 #include "yuccabeam/values/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -61,9 +62,10 @@
 
     budget_report report(time_point now) const;
     void on_report(daemon_id const& peer, budget_report report, time_point now);
-    /// Requests of the fleet in the last window: those of this daemon plus
-    /// those in the recent reports of the peers.
-    double fleet_requests(time_point now) const;
+    /// Requests of a fleet of `daemons` in the last window: those of this
+    /// daemon and in the recent reports of its peers, scaled up if not all
+    /// peers have reported recently.
+    double fleet_requests(std::size_t daemons, time_point now) const;
 
     /// The next credit request, if one is due.
     std::optional<addressed_credit_request> next_credit_request(time_point now);
@@ -91,6 +93,7 @@
     daemon_id last_asked_;
     std::uint64_t next_number_;
     std::optional<pending_request> pending_;
+    time_point next_cleanup_{};
 };
 
 } // namespace yuccabeam::placement
--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -4,6 +4,7 @@
 #include "yuccabeam/placement/failure_estimate.hpp"
 #include "yuccabeam/placement/outcome.hpp"
 #include "yuccabeam/placement/service_loads.hpp"
+#include "yuccabeam/placement/target_load.hpp"
 #include "yuccabeam/placement/trial_allowance.hpp"
 #include "yuccabeam/values/ids.hpp"
 #include "yuccabeam/values/time.hpp"
@@ -16,6 +17,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace yuccabeam::placement {
@@ -87,6 +89,9 @@
     double room_utilisation = 0.55;
     /// Validity of a peer's report of its in-flight requests.
     duration activity_memory = std::chrono::seconds(5);
+    /// Validity of a load that the relay has distributed. The relay repeats the
+    /// loads of targets in use several times within it.
+    duration relayed_load_memory = std::chrono::milliseconds(2'500);
     /// Maximum number of targets in a load report of a failure domain. A report
     /// with fewer lists all targets at which that domain has requests.
     std::size_t domain_report_targets = 35;
@@ -228,6 +233,8 @@
 public:
     target_table(failure_domain_id own_domain, std::uint64_t seed,
                  target_table_options options = {});
+    target_table(target_table const&) = delete;
+    target_table& operator=(target_table const&) = delete;
 
     /// Replaces the list of registered targets and returns the changes. A
     /// missing target that was not leaving remains for a while, ranked behind
@@ -265,6 +272,23 @@
     /// target.
     void on_peer_activity(daemon_id const& peer,
                           target_activity const& activity, time_point now);
+    /// Records the in-flight requests of a daemon whose relay this one is, and
+    /// of the daemons whose relay that one is.
+    void on_subscriber_loads(daemon_id const& peer,
+                             std::vector<target_load> const& loads,
+                             time_point now);
+    /// Records the in-flight requests of all daemons of this failure domain at
+    /// some targets, as the relay has summed them.
+    void on_relayed_loads(std::vector<target_load> const& loads,
+                          time_point now);
+    /// The loads of this daemon and its subscribers that have changed since
+    /// they were last taken, `most` at a time.
+    std::vector<target_load> take_changed_loads(std::size_t most,
+                                                time_point now);
+    bool has_changed_loads() const { return !changed_loads_.empty(); }
+    /// Makes `take_changed_loads` return the targets in use again whose load
+    /// was not taken for `age`, for a new relay or as reports get lost.
+    void mark_loads_in_use(time_point now, duration age);
     /// Replaces the in-flight requests of all daemons of another failure
     /// domain; targets that are not listed have none.
     void on_domain_activity(failure_domain_id const& domain,
@@ -291,6 +315,7 @@
     struct domain_report {
         time_point received_at{};
         bool complete = false; ///< lists all targets in use
+        std::vector<target_id> targets;
     };
 
     struct peer_load {
@@ -300,10 +325,17 @@
 
     struct record {
         discovered_target info;
+        std::uint64_t key = 0;       ///< `load_key` of this incarnation
         std::uint64_t listing = 0;   ///< the last list that contains it
         std::uint32_t in_flight = 0; ///< of this daemon
         std::map<daemon_id, peer_load> peers; ///< of this failure domain
         std::map<failure_domain_id, peer_load> domains; ///< the others
+        /// Of the daemons of this failure domain that are neither this one nor
+        /// in `peers`.
+        peer_load relayed;
+        bool load_changed = false; ///< listed in `changed_loads_`
+        bool load_started = false; ///< a request was sent since the last report
+        time_point load_taken_at{};
         failure_estimate estimate;
         std::optional<target_evidence> evidence;
         std::optional<time_point> suspected_since;
@@ -338,6 +370,12 @@
     };
 
     record* find(target_id const& id);
+    record* find(std::uint64_t key);
+    std::vector<record*> const& targets_of(service_id const& service) const;
+    void update_indexes();
+    void mark_changed(record& entry);
+    void set_peer_load(record& entry, daemon_id const& peer,
+                       target_load const& load, time_point now);
     std::optional<target_change_kind> update(discovered_target const& info,
                                              time_point now);
     std::vector<candidate> candidates(choice_request const& wanted,
@@ -353,6 +391,8 @@
                 request_conditions const& request, time_point now) const;
     int tier_of(candidate const& at, choice_request const& wanted,
                 duration max_idle_failing, time_point now);
+    /// In-flight requests of this daemon and its peers or subscribers.
+    std::uint32_t group_in_flight(record const& entry, time_point now) const;
     std::uint32_t domain_in_flight(record const& entry, time_point now) const;
     double in_flight(record const& entry, time_point now) const;
     request_conditions
@@ -375,6 +415,10 @@
     target_table_options options_;
     std::mt19937_64 random_;
     std::map<target_id, record> records_;
+    std::unordered_map<std::uint64_t, record*> by_key_;
+    std::map<service_id, std::vector<record*>> by_service_;
+    bool any_vanished_ = false;
+    std::vector<std::uint64_t> changed_loads_; ///< keys
     std::uint64_t listing_ = 0; ///< sequence number of the last list
     service_loads loads_;
     trial_allowance trials_;
--- a/src/yuccabeam/bench/fleet_bench.cpp
+++ b/src/yuccabeam/bench/fleet_bench.cpp
@@ -15,6 +15,7 @@
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <iostream>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
@@ -90,10 +91,14 @@
     return out;
 }
 
+using target_table_ptr = std::unique_ptr<placement::target_table>;
+
 /// A table as in the midst of a day: requests of peers and of other failure
 /// domains at the targets, some targets suspected.
-placement::target_table busy_table(std::vector<discovered_target> const& all) {
-    placement::target_table table({domain_name(0)}, 1);
+target_table_ptr busy_table(std::vector<discovered_target> const& all) {
+    auto out = std::make_unique<placement::target_table>(
+        failure_domain_id{domain_name(0)}, 1);
+    auto& table = *out;
     table.replace(all, false, start);
     for (std::size_t i = 0; i < all.size(); ++i) {
         auto const& id = all[i].target.id;
@@ -111,12 +116,13 @@
             table.loads().on_answer({service.name}, {600ms, false, false, 900});
         table.loads().set_fleet_rate({service.name}, 400);
     }
-    return table;
+    return out;
 }
 
 void measure_table() {
     auto const all = all_targets();
-    auto table = busy_table(all);
+    auto const busy = busy_table(all);
+    auto& table = *busy;
     auto const now = start + 100ms;
     report("choose", 2'000, [&](std::size_t i) {
         return table.choose(wanted_of(i), now).has_value();
@@ -131,10 +137,10 @@
            [&](std::size_t) { return table.replace(all, false, now).size(); });
     auto few = all;
     few.resize(all.size() / 2);
-    report("replace, half the list missing after an outage", 10,
+    report("build a table and lose half the list in an outage", 10,
            [&](std::size_t) {
-               auto changed = table;
-               return changed.replace(few, true, now).size();
+               target_table_ptr const changed = busy_table(all);
+               return changed->replace(few, true, now).size();
            });
     report("expire", 2'000, [&](std::size_t) {
         table.expire(now);
@@ -241,7 +247,7 @@
     report("encode " + name, 5'000,
            [&](std::size_t) { return gateway::encode(message).size(); });
     report("decode " + name + numbered(", bytes: ", bytes.size()), 5'000,
-           [&](std::size_t) { return gateway::decode(bytes).has_value(); });
+           [&](std::size_t) { return gateway::decode(bytes).index() == 0; });
 }
 
 void measure_messages() {
@@ -250,8 +256,10 @@
     measure_message("heartbeat", heartbeat_of(3));
     measure_message("belief", gateway::target_notice_message{
                                   {peer_name(3)},
-                                  {all[0].target.id, all[0].started_ms,
-                                   placement::notice_kind::doubted}});
+                                  1,
+                                  gateway::reach::receiver,
+                                  {{all[0].target.id, all[0].started_ms,
+                                    placement::notice_kind::doubted}}});
     measure_message("domain activity",
                     gateway::domain_activity_message{
                         {peer_name(3)}, {domain_name(3)}, true, told});
@@ -278,7 +286,8 @@
     report("may repeat", 5'000,
            [&](std::size_t) { return budget.own().allows(start); });
     report("fleet's requests", 5'000, [&](std::size_t) {
-        return static_cast<std::uint64_t>(budget.fleet_requests(start));
+        return static_cast<std::uint64_t>(
+            budget.fleet_requests(daemon_count, start));
     });
     report("should watch", 5'000,
            [&](std::size_t) { return table.should_watch(start); });
@@ -286,7 +295,7 @@
         return table.peer_with_newer_copy(4'711, start).has_value();
     });
     report("near addresses", 5'000, [&](std::size_t) {
-        return table.same_domain_addresses(start).size();
+        return table.live_same_domain_addresses(start).size();
     });
 }
 
--- a/src/yuccabeam/bench/placement_world.cpp
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -410,8 +410,9 @@
         for (std::size_t i = 0; i < daemons_.size(); ++i) {
             auto& vm = daemons_[i];
             vm.table->loads().set_fleet_rate(
-                model_service(), vm.budget->fleet_requests(now_) /
-                                     to_seconds(vm.budget->own().window()));
+                model_service(),
+                vm.budget->fleet_requests(scenario_.daemons, now_) /
+                    to_seconds(vm.budget->own().window()));
             ask_for_credit(i);
         }
         after(std::chrono::milliseconds(250), [this] { tick(); });
--- a/src/yuccabeam/placement/fleet_budget.cpp
+++ b/src/yuccabeam/placement/fleet_budget.cpp
@@ -1,5 +1,6 @@
 #include "yuccabeam/placement/fleet_budget.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccabeam::placement {
@@ -25,17 +26,25 @@
 void fleet_budget::on_report(daemon_id const& peer, budget_report report,
                              time_point now) {
     reports_[peer] = {report, now};
+    if (now < next_cleanup_)
+        return;
+    next_cleanup_ = now + report_age;
     std::erase_if(reports_, [&](auto const& item) {
         return now - item.second.received_at >= report_age;
     });
 }
 
-double fleet_budget::fleet_requests(time_point now) const {
+double fleet_budget::fleet_requests(std::size_t daemons, time_point now) const {
     double sum = own_.requests(now);
-    for (auto const& [peer, entry] : reports_)
-        if (now - entry.received_at < report_age)
-            sum += entry.report.requests;
-    return sum;
+    std::size_t counted = 1;
+    for (auto const& [peer, entry] : reports_) {
+        if (now - entry.received_at >= report_age)
+            continue;
+        sum += entry.report.requests;
+        ++counted;
+    }
+    return sum * static_cast<double>(std::max(daemons, counted)) /
+           static_cast<double>(counted);
 }
 
 // Round-robin that starts at the daemon's own id, so that daemons that lack
--- a/src/yuccabeam/placement/target_listing.cpp
+++ b/src/yuccabeam/placement/target_listing.cpp
@@ -31,10 +31,21 @@
         changes.push_back({entry->info.target.id, entry->info.target.service,
                            target_change_kind::vanished});
     }
+    any_vanished_ = any_vanished_ || !missing.empty();
     expire(now);
+    update_indexes();
     return changes;
 }
 
+void target_table::update_indexes() {
+    by_key_.clear();
+    by_service_.clear();
+    for (auto& [id, entry] : records_) {
+        by_key_[entry.key] = &entry;
+        by_service_[entry.info.target.service].push_back(&entry);
+    }
+}
+
 bool target_table::listed(record const& entry) const {
     return entry.listing == listing_;
 }
@@ -78,6 +89,7 @@
                                   entry.info.target == info.target;
     if (!same_incarnation) {
         entry = {};
+        entry.key = load_key(info.target.id, info.started_ms);
         entry.estimate = prior_estimate(options_.estimate, now);
         entry.last_request = now;
     }
@@ -110,11 +122,18 @@
 }
 
 void target_table::expire(time_point now) {
-    std::erase_if(records_, [&](auto const& item) {
+    if (!any_vanished_)
+        return;
+    auto const expired = std::erase_if(records_, [&](auto const& item) {
         auto const& entry = item.second;
         return entry.vanished_at &&
                (entry.info.leaving || now >= entry.usable_until);
     });
+    any_vanished_ = std::ranges::any_of(records_, [](auto const& item) {
+        return item.second.vanished_at.has_value();
+    });
+    if (expired > 0)
+        update_indexes();
 }
 
 } // namespace yuccabeam::placement
--- a/src/yuccabeam/placement/target_table.cpp
+++ b/src/yuccabeam/placement/target_table.cpp
@@ -89,38 +89,33 @@
     return found == records_.end() ? nullptr : &found->second;
 }
 
+target_table::record* target_table::find(std::uint64_t key) {
+    auto const found = by_key_.find(key);
+    return found == by_key_.end() ? nullptr : found->second;
+}
+
+std::vector<target_table::record*> const&
+target_table::targets_of(service_id const& service) const {
+    static std::vector<record*> const none;
+    auto const found = by_service_.find(service);
+    return found == by_service_.end() ? none : found->second;
+}
+
 std::vector<target_table::candidate>
 target_table::candidates(choice_request const& wanted, time_point now) {
     std::vector<candidate> out;
-    for (auto& [id, entry] : records_) {
-        if (entry.info.target.service != wanted.service || !entry.usable())
-            continue;
-        if (entry.vanished_at && now >= entry.usable_until)
+    for (auto* entry : targets_of(wanted.service)) {
+        if (!entry->usable() ||
+            (entry->vanished_at && now >= entry->usable_until))
             continue;
+        auto const& id = entry->info.target.id;
         if (!contains(wanted.exclude, id) ||
             contains(wanted.retryable_targets, id))
-            out.push_back({&entry, probability(entry, now)});
+            out.push_back({entry, probability(*entry, now)});
     }
     return out;
 }
 
-std::uint32_t target_table::domain_in_flight(record const& entry,
-                                             time_point now) const {
-    std::uint32_t out = entry.in_flight;
-    for (auto const& [peer, load] : entry.peers)
-        if (now - load.received_at < options_.activity_memory)
-            out += load.in_flight;
-    return out;
-}
-
-double target_table::in_flight(record const& entry, time_point now) const {
-    double out = domain_in_flight(entry, now);
-    for (auto const& [domain, load] : entry.domains)
-        if (now - load.received_at < options_.activity_memory)
-            out += load.in_flight;
-    return out;
-}
-
 request_conditions
 target_table::request_conditions_of(choice_request const& wanted) const {
     request_conditions out;
@@ -234,66 +229,16 @@
         return;
     ++entry->in_flight;
     entry->last_request = now;
-}
-
-void target_table::on_peer_activity(daemon_id const& peer,
-                                    target_activity const& activity,
-                                    time_point now) {
-    auto* entry = find(activity.target);
-    if (!entry || entry->info.started_ms != activity.started_ms)
-        return;
-    auto const known = entry->peers.find(peer);
-    if (activity.in_flight >
-        (known == entry->peers.end() ? 0 : known->second.in_flight))
-        entry->last_request = now;
-    if (activity.in_flight == 0)
-        entry->peers.erase(peer);
-    else
-        entry->peers[peer] = {activity.in_flight, now};
-}
-
-void target_table::on_domain_activity(
-    failure_domain_id const& domain,
-    std::vector<target_activity> const& activities, time_point now) {
-    domain_reports_[domain] = {now, activities.size() <
-                                        options_.domain_report_targets};
-    std::map<target_id, std::uint32_t> before;
-    for (auto& [id, entry] : records_)
-        if (auto const known = entry.domains.extract(domain))
-            before[id] = known.mapped().in_flight;
-    for (auto const& activity : activities) {
-        auto* entry = find(activity.target);
-        if (!entry || entry->info.started_ms != activity.started_ms)
-            continue;
-        if (activity.in_flight > before[activity.target])
-            entry->last_request = now;
-        entry->domains[domain] = {activity.in_flight, now};
-    }
-}
-
-std::vector<target_activity>
-target_table::domain_activity(time_point now) const {
-    std::vector<target_activity> out;
-    for (auto const& [id, entry] : records_)
-        if (auto const count = domain_in_flight(entry, now); count > 0)
-            out.push_back({id, entry.info.started_ms, count});
-    std::ranges::stable_sort(out, std::ranges::greater(),
-                             &target_activity::in_flight);
-    return out;
-}
-
-std::optional<target_activity>
-target_table::activity(target_id const& id) const {
-    auto const found = records_.find(id);
-    if (found == records_.end())
-        return std::nullopt;
-    auto const& entry = found->second;
-    return target_activity{id, entry.info.started_ms, entry.in_flight};
+    entry->load_started = true;
+    mark_changed(*entry);
 }
 
 void target_table::on_cancel(target_id const& id) {
-    if (auto* entry = find(id); entry && entry->in_flight > 0)
-        --entry->in_flight;
+    auto* entry = find(id);
+    if (!entry || entry->in_flight == 0)
+        return;
+    --entry->in_flight;
+    mark_changed(*entry);
 }
 
 void target_table::apply_doubt(record& entry, time_point now) {
@@ -329,11 +274,10 @@
 bool target_table::has_spare_capacity(service_id const& service,
                                       time_point now) const {
     double slots = 0;
-    for (auto const& [id, entry] : records_)
-        if (entry.info.target.service == service && entry.usable() &&
-            !entry.vanished_at && !suspected(entry, now) &&
-            !entry.unreachable(now))
-            slots += entry.info.target.slots;
+    for (auto const* entry : targets_of(service))
+        if (entry->usable() && !entry->vanished_at && !suspected(*entry, now) &&
+            !entry->unreachable(now))
+            slots += entry->info.target.slots;
     return loads_.busy_slots(service) < options_.room_utilisation * slots;
 }
 
@@ -424,9 +368,8 @@
 
 std::size_t target_table::size(service_id const& service) const {
     return static_cast<std::size_t>(
-        std::ranges::count_if(records_, [&](auto const& item) {
-            return item.second.info.target.service == service &&
-                   !item.second.info.leaving && !item.second.vanished_at;
+        std::ranges::count_if(targets_of(service), [](auto const* entry) {
+            return !entry->info.leaving && !entry->vanished_at;
         }));
 }
 
--- a/src/yuccabeam/placement/target_trials.cpp
+++ b/src/yuccabeam/placement/target_trials.cpp
@@ -35,8 +35,11 @@
                              duration max_idle_failing, time_point now) const {
     auto const& entry = *at.entry;
     bool const suspect = is_suspected(at.risk);
-    // Most early trials fail, so the request must still have its retry.
-    if (wanted.retryable && suspect && now >= entry.next_trial)
+    // Most early trials fail, so the request must still have its retry. The
+    // daemons of a large failure domain try its targets themselves, as the
+    // others learn of a trial only after it was repeated.
+    if (wanted.retryable && suspect && now >= entry.next_trial &&
+        knows_all_requests(entry, now))
         return true;
     auto const max_idle =
         likely_failing(at) ? max_idle_failing : options_.max_idle;
