Relay loads and notices in large fleets and lengthen their heartbeats

Cause: at 292 VMs a daemon received about 900 datagrams a second for five requests a second: reports of each start and end from 57 daemons, each failure from 291, heartbeats from all. The cost of a daemon grew with its fleet.

Change: above 64 daemons a relay in each failure domain (the VM with most processor share) sums the loads of its subscribers and distributes changed sums every 0.7 ms for each subscriber; notices go to the daemons of the domain directly and to other domains through their relays; heartbeat intervals grow with the fleet to one received each 50 ms; changes of the store go to the domain and to two daemons of each other domain. A relay that is silent for 0.6 s is replaced by each subscriber on its own. Small fleets exchange everything directly as before. A restarted or new daemon is greeted at once by all others. Datagrams are typed records and counted by kind, rejected ones by reason. peer_link has no socket any more, so a test runs 80 to 240 daemons on it in virtual time. service_usage is logged every 5 s instead of every second.

Tests: gateway_test passes with a table of rejected datagrams, and with cases for a killed and a mute relay, notices within 100 ms and only once, changes for a domain that can't read the store, and a datagram rate that doesn't grow from 80 to 240 daemons.

--- a/include/yuccabeam/gateway/daemon_gauges.hpp
+++ b/include/yuccabeam/gateway/daemon_gauges.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "yuccabeam/gateway/counters.hpp"
-#include "yuccabeam/gateway/peer_table.hpp"
+#include "yuccabeam/gateway/peer_link.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
 #include "yuccabeam/http1/client.hpp"
 #include "yuccabeam/http1/server.hpp"
@@ -18,7 +18,7 @@
     telemetry::event_log const& log;
     http1::client const& targets;
     http1::server const& callers;
-    peer_table const& peers;
+    peer_link const& peers;
 };
 
 void set_gauges(counters& out, gauge_sources const& from, time_point now);
--- a/include/yuccabeam/gateway/daemon_options.hpp
+++ b/include/yuccabeam/gateway/daemon_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccabeam/gateway/drain.hpp"
+#include "yuccabeam/gateway/peer_link.hpp"
 #include "yuccabeam/gateway/settings.hpp"
 #include "yuccabeam/placement/retry_budget.hpp"
 #include "yuccabeam/placement/target_table.hpp"
@@ -17,6 +18,7 @@
 target_table_options_of(settings const& settings);
 placement::retry_budget_options budget_options_of(settings const& settings);
 placement::initial_credit initial_credit_of(settings const& settings);
+peer_link_options peer_link_options_of(settings const& settings);
 drain_options drain_options_of(settings const& settings);
 
 } // namespace yuccabeam::gateway
--- a/include/yuccabeam/gateway/peer_message.hpp
+++ b/include/yuccabeam/gateway/peer_message.hpp
@@ -1,16 +1,19 @@
 #pragma once
 
+#include "yuccabeam/codec/message_fault.hpp"
 #include "yuccabeam/mirror/store_mirror.hpp"
 #include "yuccabeam/placement/fleet_budget.hpp"
 #include "yuccabeam/placement/target_table.hpp"
 #include "yuccabeam/values/ids.hpp"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -28,16 +31,30 @@
     bool watching = false; ///< watches the store and its last watch succeeded
     bool store_call_failed = false; ///< its last list, watch or check failed
     bool leaving = false;           ///< its process is shutting down
-    bool wants_reply = false;       ///< the receiver answers with a heartbeat
+    /// Processor share of the VM in percent of a core. The VM with the highest
+    /// share becomes the relay of its failure domain.
+    std::uint32_t processor_percent = 0;
     std::map<service_id, placement::budget_report> budgets;
 
     bool operator==(heartbeat const&) const = default;
 };
 
-/// A notice about a target, sent immediately instead of with a heartbeat.
+/// How far a message still has to travel.
+enum class reach : std::uint8_t {
+    receiver, ///< the receiver doesn't pass it on
+    fleet,    ///< the relay passes it on to the other failure domains
+    domain,   ///< the receiver's relay distributes it in its failure domain
+    last = domain
+};
+
+/// Notices about targets, sent immediately instead of with a heartbeat.
 struct target_notice_message {
     daemon_id sender;
-    placement::target_notice notice;
+    /// Distinguishes the messages of one sender, as more than one relay may
+    /// pass on the same one.
+    std::uint64_t number = 0;
+    gateway::reach reach = reach::receiver;
+    std::vector<placement::target_notice> notices;
 
     bool operator==(target_notice_message const&) const = default;
 };
@@ -46,6 +63,7 @@
 struct change_message {
     daemon_id sender;
     std::string control;
+    bool forward = false; ///< the receiver forwards them within its domain
     mirror::store_changes changes;
 
     bool operator==(change_message const&) const = default;
@@ -70,6 +88,24 @@
     bool operator==(domain_activity_message const&) const = default;
 };
 
+/// Changed loads of the sender and its subscribers, sent to its relay. The
+/// sender subscribes to the loads of the failure domain with it.
+struct load_report_message {
+    daemon_id sender;
+    std::vector<placement::target_load> loads;
+
+    bool operator==(load_report_message const&) const = default;
+};
+
+/// Changed loads of a failure domain, from the relay to its subscribers. An
+/// empty one shows that the relay works.
+struct domain_load_message {
+    daemon_id sender;
+    std::vector<placement::target_load> loads;
+
+    bool operator==(domain_load_message const&) const = default;
+};
+
 /// Asks the receiver for retry budget of a service.
 struct credit_request_message {
     daemon_id sender;
@@ -90,12 +126,20 @@
 using peer_message =
     std::variant<heartbeat, target_notice_message, change_message,
                  activity_message, domain_activity_message,
-                 credit_request_message, credit_grant_message>;
+                 credit_request_message, credit_grant_message,
+                 load_report_message, domain_load_message>;
+
+/// Names of the alternatives of `peer_message`, for metrics.
+inline constexpr std::array<std::string_view, std::variant_size_v<peer_message>>
+    peer_message_names = {"heartbeat",    "target_notice",   "change",
+                          "activity",     "domain_activity", "credit_request",
+                          "credit_grant", "load_report",     "domain_load"};
 
 std::vector<std::uint8_t> encode(peer_message const& message);
 
-/// Returns nothing for bytes that aren't a message of this protocol version.
-std::optional<peer_message> decode(std::span<std::uint8_t const> bytes);
+/// Decodes a datagram. Messages of another protocol version are rejected.
+std::variant<peer_message, codec::message_fault>
+decode(std::span<std::uint8_t const> bytes);
 
 /// Encodes changes and known peers as the body of a response to a daemon.
 std::string encode_changes(mirror::store_changes const& changes,
--- a/include/yuccabeam/gateway/service_budgets.hpp
+++ b/include/yuccabeam/gateway/service_budgets.hpp
@@ -31,8 +31,9 @@
     void on_fleet_size(std::size_t daemons, time_point now);
     std::map<service_id, placement::budget_report>
     reports(time_point now) const;
-    /// Requests per second of the whole fleet, by service.
-    std::map<service_id, double> fleet_rates(time_point now) const;
+    /// Requests per second of a fleet of `daemons`, by service.
+    std::map<service_id, double> fleet_rates(std::size_t daemons,
+                                             time_point now) const;
     std::vector<due_credit_request> due_requests(time_point now);
 
 private:
--- a/include/yuccabeam/gateway/settings.hpp
+++ b/include/yuccabeam/gateway/settings.hpp
@@ -25,6 +25,8 @@
     /// store itself can't be read.
     std::vector<std::string> seeds;
     std::vector<std::string> failure_domains; ///< all of the deployment
+    /// Cores that this VM may use. Larger VMs become relays first.
+    double processor_share = 1;
     /// Time from the stop signal to the end of the process.
     std::chrono::milliseconds grace{6'000};
     /// Time after which a leaving target must get no new requests.
--- a/include/yuccabeam/gateway/usage_report.hpp
+++ b/include/yuccabeam/gateway/usage_report.hpp
@@ -8,7 +8,7 @@
 namespace yuccabeam::gateway {
 
 struct usage_report_options {
-    duration period = std::chrono::seconds(1);
+    duration period = std::chrono::seconds(5);
     /// Time without a request after which a target counts as idle.
     duration idle_limit = std::chrono::seconds(2);
 };
--- a/src/yuccabeam/gateway/daemon_gauges.cpp
+++ b/src/yuccabeam/gateway/daemon_gauges.cpp
@@ -12,7 +12,7 @@
     auto const& calls = from.store.counters();
     auto const& lines = from.log.counters();
     std::pair<char const*, double> const gauges[] = {
-        {"peers_live", static_cast<double>(from.peers.live_count(now))},
+        {"peers_live", static_cast<double>(from.peers.table().live_count(now))},
         {"store_revision", static_cast<double>(from.store.mirror().revision())},
         {"store_calls", static_cast<double>(calls.calls)},
         {"store_checks", static_cast<double>(calls.checks)},
@@ -29,6 +29,13 @@
     };
     for (auto const& [name, value] : gauges)
         out.set(name, value);
+    for (std::size_t i = 0; i < peer_message_names.size(); ++i) {
+        auto const name = "peer_" + std::string(peer_message_names[i]);
+        out.set(name + "_sent",
+                static_cast<double>(from.peers.counters().sent[i]));
+        out.set(name + "_received",
+                static_cast<double>(from.peers.counters().received[i]));
+    }
 }
 
 } // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/daemon_options.cpp
+++ b/src/yuccabeam/gateway/daemon_options.cpp
@@ -34,6 +34,19 @@
                               : placement::initial_credit::none;
 }
 
+peer_link_options peer_link_options_of(settings const& settings) {
+    constexpr double percent = 100;
+    peer_link_options out;
+    out.address = settings.peers;
+    out.control = settings.control;
+    out.failure_domain = settings.failure_domain;
+    out.failure_domains = settings.failure_domains.size();
+    out.incarnation = new_incarnation();
+    out.processor_percent =
+        static_cast<std::uint32_t>(settings.processor_share * percent);
+    return out;
+}
+
 drain_options drain_options_of(settings const& settings) {
     drain_options out;
     out.grace = settings.grace;
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_period{50};
+constexpr duration rate_update_period = std::chrono::milliseconds(250);
 // Delays of the periodic timer of at least this length are logged: timeouts of
 // some hundred milliseconds then measure this VM and not its targets.
 constexpr duration loop_delay_log_threshold = std::chrono::milliseconds(100);
@@ -31,9 +32,7 @@
       target_list(formats.content.target_prefix, formats.content.target),
       budgets(budget_options_of(settings), {settings.peers}, random(),
               boot_now(), initial_credit_of(settings)),
-      peers({settings.peers, settings.control, settings.failure_domain,
-             settings.failure_domains.size(), new_incarnation()},
-            peer_callbacks()),
+      peers(peer_link_options_of(settings), target_table, peer_callbacks()),
       dependencies(make_exchange_dependencies()),
       ticker(context.get_executor()), policies(formats.content, log, counters),
       router(dependencies, policies) {}
@@ -48,7 +47,7 @@
     store = std::make_shared<store_sync>(context.get_executor(), control_client,
                                          formats.store, options,
                                          store_callbacks(), log);
-    if (auto opened = peers.open(context); !opened)
+    if (auto opened = open_peer_transport(); !opened)
         return opened;
     if (auto listening = listen(); !listening)
         return listening;
@@ -98,10 +97,10 @@
 
 control_dependencies implementation::make_control_dependencies() {
     return {[this] {
-                set_gauges(counters,
-                           {target_table, *store, log, targets, *callers,
-                            peers.table()},
-                           boot_now());
+                set_gauges(
+                    counters,
+                    {target_table, *store, log, targets, *callers, peers},
+                    boot_now());
                 usage.set_gauges(target_table, counters, boot_now());
             },
             counters, [this] { return state(boot_now()); },
@@ -206,8 +205,7 @@
     target_table.expire(now);
     usage.on_tick(target_table, log, now);
     budgets.on_fleet_size(peers.table().known_count() + 1, now);
-    for (auto const& [service, rate] : budgets.fleet_rates(now))
-        target_table.loads().set_fleet_rate(service, rate);
+    update_fleet_rates(now);
     if (!stopping_since) {
         // Announced at once, so that peers take over watching the store.
         if (store->last_call_failed() != announced_store_call_failure)
@@ -219,6 +217,15 @@
     check_stop(now);
 }
 
+void implementation::update_fleet_rates(time_point now) {
+    if (now < next_rate_update)
+        return;
+    next_rate_update = now + rate_update_period;
+    auto const daemons = peers.table().live_count(now) + 1;
+    for (auto const& [service, rate] : budgets.fleet_rates(daemons, now))
+        target_table.loads().set_fleet_rate(service, rate);
+}
+
 void implementation::begin_stop() {
     if (stopping_since)
         return;
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -13,6 +13,7 @@
 #include "yuccabeam/gateway/target_entries.hpp"
 #include "yuccabeam/gateway/usage_report.hpp"
 #include "yuccabeam/net/one_shot_timer.hpp"
+#include "yuccabeam/net/peer_transport.hpp"
 
 #include <asio.hpp>
 #include <random>
@@ -35,15 +36,17 @@
 
     // Store and configuration.
     store_sync_callbacks store_callbacks();
+    bool should_watch(time_point now);
     void on_store_changed(mirror::store_changes const& changes,
                           bool from_store);
     void apply_targets(time_point now);
 
     // Peers.
     peer_link_callbacks peer_callbacks();
+    result<void> open_peer_transport();
     void fill_heartbeat(heartbeat& out);
     void on_heartbeat(heartbeat const& message, bool is_new);
-    void on_target_notice(target_notice_message const& message);
+    bool on_peer_changes(change_message const& message);
     void publish_notice(std::optional<placement::target_notice> const& notice,
                         service_id const& service, bool retried);
     bool may_retry(service_id const& id, time_point now);
@@ -69,6 +72,7 @@
     void schedule_tick();
     void record_loop_delay(duration delay);
     void on_tick(time_point now);
+    void update_fleet_rates(time_point now);
     void check_stop(time_point now);
 
     asio::io_context& context;
@@ -84,6 +88,7 @@
     target_entries target_list;
     service_budgets budgets;
     peer_link peers;
+    std::unique_ptr<net::peer_transport> peer_transport;
     std::shared_ptr<store_sync> store;
     exchange_dependencies dependencies;
     std::unique_ptr<http1::server> callers;
@@ -91,6 +96,9 @@
     std::unique_ptr<http1::server> control;
     net::one_shot_timer ticker;
     time_point last_tick{};
+    time_point next_rate_update{};
+    bool watch_decision = true;
+    time_point next_watch_decision{};
     usage_report usage;
 
     active_policy policies;
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -3,6 +3,8 @@
 
 #include "yuccabeam/gateway/target_description.hpp"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace yuccabeam::gateway {
@@ -14,10 +16,20 @@
 // Time after a peer has announced a newer revision during which its changes may
 // still arrive by datagram. After it they are pulled.
 constexpr duration pull_delay = std::chrono::milliseconds(60);
+// In a large fleet, a pass over all peers in every tick is too expensive.
+constexpr duration watch_decision_period = std::chrono::milliseconds(200);
 // For this time after an outage of the store, the loss of many targets at once
 // is attributed to the outage.
 constexpr duration recent_outage_period = std::chrono::seconds(3);
 
+// A complete copy affects all keys, those that it lacks included.
+bool affects(mirror::store_changes const& changes, std::string_view prefix) {
+    return changes.base == 0 ||
+           std::ranges::any_of(changes.events, [&](auto const& event) {
+               return event.item.key.starts_with(prefix);
+           });
+}
+
 } // namespace
 
 // --- store and configuration -----------------------------------------------
@@ -28,9 +40,7 @@
                          bool from_store) {
         on_store_changed(changes, from_store);
     };
-    out.should_watch = [this] {
-        return peers.table().should_watch(boot_now());
-    };
+    out.should_watch = [this] { return should_watch(boot_now()); };
     out.confirmed = [this] { peers.announce_to_domain(boot_now()); };
     out.peers_discovered = [this](std::vector<std::string> const& addresses) {
         for (auto const& address : addresses)
@@ -39,14 +49,25 @@
     return out;
 }
 
+bool implementation::should_watch(time_point now) {
+    auto const& table = peers.table();
+    if (!table.uses_relays() || now >= next_watch_decision) {
+        watch_decision = table.should_watch(now);
+        next_watch_decision = now + watch_decision_period;
+    }
+    return watch_decision;
+}
+
 void implementation::on_store_changed(mirror::store_changes const& changes,
                                       bool from_store) {
     auto const now = boot_now();
     policies.update(store->mirror(), now);
-    apply_targets(now);
-    auto const& prefix = formats.content.daemon_prefix;
-    for (auto const* item : store->mirror().with_prefix(prefix))
-        peers.table().add_address(item->value, now);
+    auto const& content = formats.content;
+    if (affects(changes, content.target_prefix))
+        apply_targets(now);
+    for (auto const& event : changes.events)
+        if (!event.removed && event.item.key.starts_with(content.daemon_prefix))
+            peers.table().add_address(event.item.value, now);
     budgets.on_fleet_size(peers.table().known_count() + 1, now);
     if (from_store && changes.base != 0)
         peers.forward_changes(changes, now);
@@ -81,22 +102,18 @@
 
 peer_link_callbacks implementation::peer_callbacks() {
     peer_link_callbacks out;
+    out.send = [this](std::vector<std::uint8_t> const& bytes,
+                      std::vector<std::string> const& addresses) {
+        peer_transport->send_to_all(bytes, addresses);
+    };
     out.fill_heartbeat = [this](heartbeat& message) {
         fill_heartbeat(message);
     };
     out.on_heartbeat = [this](heartbeat const& message, bool is_new) {
         on_heartbeat(message, is_new);
     };
-    out.on_target_notice = [this](target_notice_message const& message) {
-        on_target_notice(message);
-    };
     out.on_changes = [this](change_message const& message) {
-        if (!store->apply_peer_changes(message.changes))
-            store->pull(message.control, boot_now());
-    };
-    out.on_activity = [this](activity_message const& message) {
-        for (auto const& activity : message.targets)
-            target_table.on_peer_activity(message.sender, activity, boot_now());
+        return on_peer_changes(message);
     };
     out.on_credit_request = [this](credit_request_message const& message) {
         auto const grant = budgets.of(message.service)
@@ -109,17 +126,35 @@
         budgets.of(message.service).on_grant(message.grant, boot_now());
         ask_for_credit(boot_now());
     };
-    out.on_domain_activity = [this](domain_activity_message const& message) {
-        target_table.on_domain_activity(message.failure_domain, message.targets,
-                                        boot_now());
-    };
-    out.domain_activity = [this] {
-        return target_table.domain_activity(boot_now());
+    out.on_rejected = [this](codec::message_fault fault) {
+        counters.count("peer_messages_rejected_" +
+                       std::string(to_string(fault)));
     };
-    out.on_malformed = [this] { counters.count("peer_messages_rejected"); };
     return out;
 }
 
+result<void> implementation::open_peer_transport() {
+    net::peer_transport_options options;
+    options.bind_address = settings.peers;
+    options.max_datagram_bytes = max_datagram_bytes;
+    auto opened = net::peer_transport::open(
+        context, options,
+        [this](net::peer_transport::bytes_view bytes, std::string const&) {
+            peers.receive(bytes, boot_now());
+        });
+    if (!opened)
+        return opened.error();
+    peer_transport = std::move(opened.value());
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+bool implementation::on_peer_changes(change_message const& message) {
+    auto const before = store->mirror().revision();
+    if (!store->apply_peer_changes(message.changes))
+        store->pull(message.control, boot_now());
+    return store->mirror().revision() > before;
+}
+
 void implementation::fill_heartbeat(heartbeat& out) {
     out.store_revision = store->mirror().revision();
     out.watching = store->watching() && !stopping_since;
@@ -143,10 +178,6 @@
         last_outage = now;
 }
 
-void implementation::on_target_notice(target_notice_message const& message) {
-    target_table.on_peer_notice(message.notice, boot_now());
-}
-
 void implementation::publish_notice(
     std::optional<placement::target_notice> const& notice,
     service_id const& service, bool retried) {
@@ -159,7 +190,7 @@
                 target_table.snapshot_of(notice->target, boot_now()))
             fields.push_back({"risk_percent", percent_text(snapshot->failing)});
         log.write(event, fields);
-        peers.broadcast(*notice);
+        peers.broadcast(*notice, boot_now());
     }
     if (retried)
         ask_for_credit(boot_now());
--- /dev/null
+++ b/src/yuccabeam/gateway/message_fields.hpp
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "yuccabeam/codec/record_archive.hpp"
+#include "yuccabeam/gateway/peer_message.hpp"
+
+#include <cmath>
+
+/// The fields of the messages between gateways, in wire order. Keys are left
+/// out to keep datagrams small.
+namespace yuccabeam::placement {
+
+constexpr notice_kind last_value(notice_kind) {
+    return notice_kind::last;
+}
+
+} // namespace yuccabeam::placement
+
+namespace yuccabeam::gateway {
+
+constexpr reach last_value(reach) {
+    return reach::last;
+}
+
+} // namespace yuccabeam::gateway
+
+namespace yuccabeam::codec {
+
+// A message with more credit is treated as corrupt.
+inline constexpr double max_credit = 1e6;
+
+/// An amount of retry credit, from 0 to `max_credit`.
+template <class Number>
+struct credit_amount {
+    Number* value;
+};
+template <class Archive, class Number>
+void describe(Archive& archive, credit_amount<Number> const& amount) {
+    archive.record(*amount.value);
+    if constexpr (!std::is_const_v<Number>)
+        if (!(*amount.value >= 0 && *amount.value <= max_credit))
+            archive.fail(message_fault::out_of_range);
+}
+
+template <class Archive, record_of<placement::target_notice> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.target, value.started_ms, value.kind);
+}
+
+template <class Archive, record_of<placement::target_activity> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.target, value.started_ms, value.in_flight);
+}
+
+template <class Archive, record_of<placement::target_load> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.key, value.in_flight, value.started);
+}
+
+template <class Archive, record_of<mirror::store_event> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.item.key, value.item.value, value.item.revision,
+                   value.removed);
+}
+
+template <class Archive, record_of<mirror::store_changes> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.base, value.revision, value.events);
+}
+
+/// The report of one service in a heartbeat.
+struct named_budget {
+    service_id service;
+    placement::budget_report report;
+};
+template <class Archive, record_of<named_budget> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.service, value.report.requests,
+                   value.report.spare_credit);
+}
+
+template <class Archive, record_of<gateway::heartbeat> T>
+void describe(Archive& archive, T& value) {
+    std::vector<named_budget> budgets;
+    for (auto const& [service, report] : value.budgets)
+        budgets.push_back({service, report});
+    std::int64_t copy_age_ms = value.copy_age.count();
+    archive.record(value.sender, value.control, value.failure_domain,
+                   value.incarnation, value.store_revision, value.watching,
+                   value.store_call_failed, value.leaving,
+                   value.processor_percent, budgets, copy_age_ms);
+    if constexpr (!std::is_const_v<T>) {
+        for (auto& [service, report] : budgets)
+            value.budgets[std::move(service)] = report;
+        value.copy_age = std::chrono::milliseconds(copy_age_ms);
+        // A negative age would mean a confirmation in the future.
+        if (copy_age_ms < 0)
+            archive.fail(message_fault::out_of_range);
+    }
+}
+
+template <class Archive, record_of<gateway::target_notice_message> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.sender, value.number, value.reach, value.notices);
+}
+
+template <class Archive, record_of<gateway::change_message> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.sender, value.control, value.forward, value.changes);
+}
+
+template <class Archive, record_of<gateway::activity_message> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.sender, value.targets);
+}
+
+template <class Archive, record_of<gateway::domain_activity_message> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.sender, value.failure_domain, value.forward,
+                   value.targets);
+}
+
+template <class Archive, record_of<gateway::credit_request_message> T>
+void describe(Archive& archive, T& value) {
+    credit_amount<std::remove_reference_t<decltype((value.request.amount))>>
+        amount{&value.request.amount};
+    archive.record(value.sender, value.service, value.request.number, amount);
+}
+
+template <class Archive, record_of<gateway::credit_grant_message> T>
+void describe(Archive& archive, T& value) {
+    using number = std::remove_reference_t<decltype((value.grant.amount))>;
+    credit_amount<number> amount{&value.grant.amount};
+    credit_amount<number> spare{&value.grant.spare_credit};
+    archive.record(value.sender, value.service, value.grant.number, amount,
+                   spare);
+}
+
+template <class Archive, record_of<gateway::load_report_message> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.sender, value.loads);
+}
+
+template <class Archive, record_of<gateway::domain_load_message> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.sender, value.loads);
+}
+
+} // namespace yuccabeam::codec
--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -1,214 +1,175 @@
 #include "yuccabeam/gateway/peer_link.hpp"
 
-#include "yuccabeam/adapters/clock.hpp"
-
+#include <utility>
 #include <variant>
 
 namespace yuccabeam::gateway {
 
 namespace {
 
-constexpr std::size_t max_datagram_bytes = 1'200;
-// Minimum interval between two activity messages, per receiving daemon. More
-// frequent messages would use up the CPU of a small VM.
-constexpr duration activity_period_per_peer = std::chrono::microseconds(500);
-// Approximate interval at which a failure domain reports its activity to the
-// others. Its daemons share the work: each sends at a multiple of the interval.
-constexpr duration domain_activity_period = std::chrono::milliseconds(100);
+// Heartbeats to daemons that were just added or restarted, in one tick. When a
+// large fleet starts, all daemons are new to each other.
+constexpr std::size_t max_greetings_per_tick = 40;
+// Daemons of each other failure domain to which a large fleet sends changes of
+// the store, in case the domain has nobody who reads them from the store.
+constexpr std::size_t change_samples = 2;
+
+peer_table_options table_options_of(peer_link_options const& options) {
+    peer_table_options out;
+    out.self = {options.address};
+    out.failure_domain = options.failure_domain;
+    out.failure_domains = options.failure_domains;
+    return out;
+}
 
 } // namespace
 
-peer_link::peer_link(peer_link_options options, peer_link_callbacks callbacks)
-    : options_(std::move(options)), callbacks_(std::move(callbacks)),
-      table_({{options_.address},
-              options_.failure_domain,
-              options_.failure_domains}) {}
-
-result<void> peer_link::open(asio::io_context& context) {
-    net::peer_transport_options options;
-    options.bind_address = options_.address;
-    options.max_datagram_bytes = max_datagram_bytes;
-    auto opened = net::peer_transport::open(
-        context, options,
-        [this](net::peer_transport::bytes_view bytes, std::string const&) {
-            receive(bytes, adapters::boot_now());
-        });
-    if (!opened)
-        return opened.error();
-    transport_ = std::move(opened.value());
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
-heartbeat peer_link::own_heartbeat(bool wants_reply) const {
-    heartbeat out;
-    out.sender = {options_.address};
-    out.control = options_.control;
-    out.failure_domain = options_.failure_domain;
-    out.incarnation = options_.incarnation;
-    out.wants_reply = wants_reply;
-    callbacks_.fill_heartbeat(out);
-    return out;
-}
+peer_link::peer_link(peer_link_options options,
+                     placement::target_table& targets,
+                     peer_link_callbacks callbacks)
+    : options_(std::move(options)), targets_(targets),
+      callbacks_(std::move(callbacks)), table_(table_options_of(options_)),
+      relays_({options_.address, options_.processor_percent}),
+      // The numbers of an earlier process must not be taken for copies.
+      next_notice_number_(options_.incarnation) {}
+
+// --- sending and receiving ---------------------------------------------------
 
-void peer_link::send(std::vector<std::uint8_t> const& bytes,
+void peer_link::send(peer_message const& message,
                      std::vector<std::string> const& addresses) {
-    for (auto const& address : addresses)
-        transport_->send(bytes, address);
+    if (addresses.empty())
+        return;
+    counters_.sent[message.index()] += addresses.size();
+    callbacks_.send(encode(message), addresses);
 }
 
-void peer_link::send_all(peer_message const& message) {
-    send(encode(message), table_.addresses());
+void peer_link::send(peer_message const& message, std::string const& address) {
+    send(message, std::vector<std::string>{address});
 }
 
-void peer_link::send_heartbeats(time_point now, bool to_all_domains) {
-    if (leaving_)
+void peer_link::receive(std::span<std::uint8_t const> bytes, time_point now) {
+    auto const read = decode(bytes);
+    if (auto const* fault = std::get_if<codec::message_fault>(&read)) {
+        callbacks_.on_rejected(*fault);
         return;
-    auto const message = own_heartbeat(false);
-    auto const bytes = encode(message);
-    for (auto const& address : table_.addresses())
-        if (to_all_domains || table_.in_same_domain(address))
-            transport_->send(bytes, address);
-    auto const& periods = options_.periods;
-    next_heartbeat_ = now + periods.same_domain;
-    if (to_all_domains)
-        next_other_domains_heartbeat_ = now + periods.other_domains;
+    }
+    auto const& message = std::get<peer_message>(read);
+    ++counters_.received[message.index()];
+    std::visit([&](auto const& known) { handle(known, now); }, message);
 }
 
 void peer_link::tick(time_point now) {
-    if (!activity_.empty() && now >= next_activity_)
-        send_activity(now);
-    if (now >= next_domain_activity_)
-        send_domain_activity(now);
+    if (leaving_)
+        return;
+    if (auto const added = table_.take_ungreeted(max_greetings_per_tick);
+        !added.empty())
+        send_heartbeats(added);
+    select_relay(now);
+    send_loads(now);
     if (now < next_heartbeat_)
         return;
     table_.forget_silent(now);
-    send_heartbeats(now, now >= next_other_domains_heartbeat_);
+    bool const to_all = now >= next_other_domains_heartbeat_;
+    if (to_all) {
+        send_heartbeats(table_.addresses());
+        next_other_domains_heartbeat_ = now + table_.periods().other_domains;
+    } else {
+        send_heartbeats(table_.same_domain_addresses());
+    }
+    next_heartbeat_ = now + table_.periods().same_domain;
+}
+
+// --- heartbeats --------------------------------------------------------------
+
+heartbeat peer_link::own_heartbeat() {
+    heartbeat out;
+    out.sender = {options_.address};
+    out.control = options_.control;
+    out.failure_domain = options_.failure_domain;
+    out.incarnation = options_.incarnation;
+    out.processor_percent = options_.processor_percent;
+    callbacks_.fill_heartbeat(out);
+    return out;
 }
 
-void peer_link::announce(time_point now) {
-    send_heartbeats(now, true);
+void peer_link::send_heartbeats(std::vector<std::string> const& addresses) {
+    if (!leaving_)
+        send(own_heartbeat(), addresses);
 }
 
 void peer_link::announce_to_domain(time_point now) {
-    send_heartbeats(now, false);
+    send_heartbeats(table_.same_domain_addresses());
+    next_heartbeat_ = now + table_.periods().same_domain;
 }
 
 void peer_link::send_leaving(time_point) {
-    auto message = own_heartbeat(false);
+    auto message = own_heartbeat();
     message.leaving = true;
-    send_all(message);
+    send(message, table_.addresses());
     leaving_ = true;
 }
 
-void peer_link::broadcast(placement::target_notice const& notice) {
-    send_all(target_notice_message{{options_.address}, notice});
+void peer_link::handle(heartbeat const& message, time_point now) {
+    bool const is_new = table_.on_heartbeat(message, now);
+    if (!message.leaving)
+        callbacks_.on_heartbeat(message, is_new);
 }
 
+// --- retry credit ------------------------------------------------------------
+
 void peer_link::request_credit(service_id const& service,
                                placement::addressed_credit_request const& due) {
-    transport_->send(encode(credit_request_message{
-                         {options_.address}, service, due.request}),
-                     due.grantor.value);
+    send(credit_request_message{{options_.address}, service, due.request},
+         due.grantor.value);
 }
 
-void peer_link::report_activity(placement::target_activity const& activity,
-                                time_point now) {
-    activity_[activity.target] = activity;
-    if (now >= next_activity_)
-        send_activity(now);
-}
-
-void peer_link::send_activity(time_point now) {
-    activity_message message{{options_.address}, {}};
-    for (auto at = activity_.begin();
-         at != activity_.end() &&
-         message.targets.size() < max_activities_per_message;
-         at = activity_.erase(at))
-        message.targets.push_back(at->second);
-    auto const peers = table_.same_domain_addresses(now);
-    next_activity_ = now + activity_period_per_peer * peers.size();
-    send(encode(message), peers);
-}
-
-void peer_link::send_domain_activity(time_point now) {
-    auto const peers = table_.same_domain_addresses(now).size();
-    next_domain_activity_ = now + domain_activity_period * (peers + 1);
-    domain_activity_message message{{options_.address},
-                                    options_.failure_domain,
-                                    true,
-                                    callbacks_.domain_activity()};
-    if (message.targets.size() > max_activities_per_message)
-        message.targets.resize(max_activities_per_message);
-    auto const bytes = encode(message);
-    ++domain_activity_round_;
-    for (auto const& [domain, addresses] : table_.other_domain_addresses(now))
-        transport_->send(bytes,
-                         addresses[domain_activity_round_ % addresses.size()]);
-}
-
-void peer_link::send_to_domain(peer_message const& message, time_point now) {
-    send(encode(message), table_.same_domain_addresses(now));
-}
-
-void peer_link::forward_changes(mirror::store_changes const& changes,
-                                time_point now) {
-    auto const bytes =
-        encode(change_message{{options_.address}, options_.control, changes});
-    if (bytes.size() > max_datagram_bytes) {
-        announce(now);
-        return;
-    }
-    send(bytes, table_.addresses());
+void peer_link::handle(credit_request_message const& message, time_point) {
+    send(credit_grant_message{{options_.address},
+                              message.service,
+                              callbacks_.on_credit_request(message)},
+         message.sender.value);
 }
 
-void peer_link::receive(std::span<std::uint8_t const> bytes, time_point now) {
-    auto const message = decode(bytes);
-    if (message)
-        std::visit([&](auto const& known) { handle(known, now); }, *message);
-    else
-        callbacks_.on_malformed();
+void peer_link::handle(credit_grant_message const& message, time_point) {
+    callbacks_.on_credit_grant(message);
 }
 
-void peer_link::handle(heartbeat const& message, time_point now) {
-    bool const is_new = table_.on_heartbeat(message, now);
-    if (message.leaving)
-        return;
-    callbacks_.on_heartbeat(message, is_new);
-    if (message.wants_reply && !leaving_)
-        transport_->send(encode(own_heartbeat(false)), message.sender.value);
-}
+// --- changes of the store ----------------------------------------------------
 
-void peer_link::handle(target_notice_message const& message, time_point) {
-    callbacks_.on_target_notice(message);
+std::vector<std::string> peer_link::same_domain_and_samples(time_point now) {
+    auto out = table_.same_domain_addresses();
+    ++domain_activity_round_;
+    for (auto const& [domain, addresses] : table_.other_domain_addresses(now))
+        for (std::size_t i = 0; i < change_samples && i < addresses.size(); ++i)
+            out.push_back(
+                addresses[(domain_activity_round_ * change_samples + i) %
+                          addresses.size()]);
+    return out;
 }
 
-void peer_link::handle(activity_message const& message, time_point) {
-    callbacks_.on_activity(message);
+void peer_link::forward_changes(mirror::store_changes const& changes,
+                                time_point now) {
+    bool const relayed = table_.uses_relays();
+    auto const receivers =
+        relayed ? same_domain_and_samples(now) : table_.addresses();
+    change_message const message{
+        {options_.address}, options_.control, relayed, changes};
+    if (encode(message).size() > max_datagram_bytes)
+        send_heartbeats(receivers);
+    else
+        send(message, receivers);
 }
 
-void peer_link::handle(domain_activity_message const& message, time_point now) {
-    callbacks_.on_domain_activity(message);
-    if (!message.forward)
+void peer_link::handle(change_message const& message, time_point now) {
+    table_.add_address(message.sender.value, now);
+    bool const missing = callbacks_.on_changes(message);
+    if (!missing || !message.forward ||
+        table_.in_same_domain(message.sender.value))
         return;
+    // No daemon of this failure domain has read them from the store yet.
     auto forwarded = message;
     forwarded.forward = false;
-    send_to_domain(forwarded, now);
-}
-
-void peer_link::handle(credit_request_message const& message, time_point) {
-    credit_grant_message const reply{{options_.address},
-                                     message.service,
-                                     callbacks_.on_credit_request(message)};
-    transport_->send(encode(reply), message.sender.value);
-}
-
-void peer_link::handle(credit_grant_message const& message, time_point) {
-    callbacks_.on_credit_grant(message);
-}
-
-void peer_link::handle(change_message const& message, time_point now) {
-    table_.add_address(message.sender.value, now);
-    callbacks_.on_changes(message);
+    send(forwarded, table_.same_domain_addresses());
 }
 
 } // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -23,6 +23,10 @@
     return out;
 }
 
+bool accepted(std::span<std::uint8_t const> bytes) {
+    return std::holds_alternative<peer_message>(decode(bytes));
+}
+
 peer_table table_of(std::string const& self, std::string const& domain) {
     return peer_table({{self}, {domain}, 3});
 }
@@ -38,21 +42,29 @@
     std::vector<peer_message> const messages = {
         sample,
         target_notice_message{{"x"},
-                              {{"t"}, 5, placement::notice_kind::doubted}},
-        target_notice_message{{"x"},
-                              {{"t"}, 7, placement::notice_kind::replaced}},
+                              1ULL << 60,
+                              reach::fleet,
+                              {{{"t"}, 5, placement::notice_kind::doubted},
+                               {{"u"}, -1, placement::notice_kind::replaced}}},
         credit_request_message{{"x"}, {"svc"}, {1ULL << 63, 0.8}},
         credit_grant_message{{"x"}, {"svc"}, {1ULL << 63, 0.8, 0.25}},
         activity_message{{"x"}, {{{"t"}, 5, 3}, {{"u"}, 6, 0}}},
         domain_activity_message{{"x"}, {"a"}, true, {{{"t"}, 5, 9}}},
+        load_report_message{{"x"}, {{~0ULL, 3, true}, {5, 0, false}}},
+        domain_load_message{{"x"}, {}},
         change_message{{"x"},
                        "c",
+                       true,
                        {3,
                         9,
                         {{{"k", std::string("\0\xff", 2), 4}, false},
                          {{"gone", "", 9}, true}}}}};
-    for (auto const& message : messages)
-        CHECK(decode(encode(message)) == message);
+    for (auto const& message : messages) {
+        CAPTURE(message.index());
+        auto const read = decode(encode(message));
+        REQUIRE(std::holds_alternative<peer_message>(read));
+        CHECK(std::get<peer_message>(read) == message);
+    }
 }
 
 TEST_CASE("damaged datagrams are rejected without an exception") {
@@ -63,17 +75,17 @@
         auto bytes = good;
         bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
         bytes.resize(1 + random() % bytes.size());
-        refused += !decode(bytes);
+        refused += !accepted(bytes);
     }
     CHECK(refused > 1'500);
-    CHECK_FALSE(decode({}));
+    CHECK_FALSE(accepted({}));
 }
 
 TEST_CASE("a message or a body of changes truncated at any byte is rejected") {
     auto const message = encode(beat("10.0.0.1:7", "a"));
-    REQUIRE(decode(message));
+    REQUIRE(accepted(message));
     for (std::size_t size = 0; size < message.size(); ++size)
-        CHECK_FALSE(decode(std::span(message).first(size)));
+        CHECK_FALSE(accepted(std::span(message).first(size)));
     auto const changes =
         encode_changes({3, 9, {{{"k", "v", 4}, false}}}, {"p"});
     REQUIRE(decode_changes(changes));
@@ -84,7 +96,7 @@
 TEST_CASE("a credit grant with an impossible amount is rejected") {
     for (double const amount : {-0.5, 1e9, std::nan("")}) {
         CAPTURE(amount);
-        CHECK_FALSE(decode(
+        CHECK_FALSE(accepted(
             encode(credit_grant_message{{"x"}, {"svc"}, {1, amount, 0}})));
     }
 }
@@ -94,7 +106,47 @@
 TEST_CASE("a heartbeat with a negative copy age is rejected") {
     auto message = beat("10.0.0.1:7", "a");
     message.copy_age = -1ms;
-    CHECK_FALSE(decode(encode(message)));
+    CHECK_FALSE(accepted(encode(message)));
+}
+
+TEST_CASE("a rejected datagram is counted by its reason") {
+    struct row {
+        char const* guards;
+        std::vector<std::uint8_t> bytes;
+        codec::message_fault expected;
+    };
+    auto const good = encode(domain_load_message{{"x"}, {}});
+    auto const with = [&](std::size_t at, std::uint8_t value) {
+        auto out = good;
+        out[at] = value;
+        return out;
+    };
+    auto longer = good;
+    longer.push_back(0xc0);
+    std::string nested(1'000, '\x91');
+    row const rows[] = {
+        {"a daemon of an earlier version beside this one", with(1, 2),
+         codec::message_fault::unknown_version},
+        {"a daemon of a later version beside this one", with(1, 4),
+         codec::message_fault::unknown_version},
+        {"an unknown kind", with(2, 99), codec::message_fault::unknown_kind},
+        {"bytes after the message", longer, codec::message_fault::malformed},
+        {"an array of four billion elements",
+         {0x93, 3, 1, 0xdd, 0xff, 0xff, 0xff, 0xff},
+         codec::message_fault::malformed},
+        {"a string of four billion bytes",
+         {0x93, 3, 1, 0x91, 0xdb, 0xff, 0xff, 0xff, 0xff},
+         codec::message_fault::malformed},
+        {"deeply nested arrays",
+         {nested.begin(), nested.end()},
+         codec::message_fault::malformed},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.guards);
+        auto const read = decode(row.bytes);
+        REQUIRE(std::holds_alternative<codec::message_fault>(read));
+        CHECK(std::get<codec::message_fault>(read) == row.expected);
+    }
 }
 
 TEST_CASE("one daemon of a failure domain watches the store; another takes "
--- a/src/yuccabeam/gateway/service_budgets.cpp
+++ b/src/yuccabeam/gateway/service_budgets.cpp
@@ -36,11 +36,11 @@
 }
 
 std::map<service_id, double>
-service_budgets::fleet_rates(time_point now) const {
+service_budgets::fleet_rates(std::size_t daemons, time_point now) const {
     std::map<service_id, double> out;
     for (auto const& [service, budget] : budgets_)
-        out[service] =
-            budget.fleet_requests(now) / to_seconds(budget.own().window());
+        out[service] = budget.fleet_requests(daemons, now) /
+                       to_seconds(budget.own().window());
     return out;
 }
 
