Let a daemon hold credit for one retry while the slack has one for each

Change: where the slack has at least one retry for each daemon, a bucket holds at least one, at the expense of the reserve. Below that nothing changes.

--- a/src/yuccabeam/placement/retry_budget.cpp
+++ b/src/yuccabeam/placement/retry_budget.cpp
@@ -35,8 +35,11 @@
 double retry_budget::share() const {
     if (fleet_size_ == 0)
         return 0;
-    return options_.fleet_slack /
-           (static_cast<double>(fleet_size_) * (1 + options_.reserve));
+    double const whole =
+        options_.fleet_slack / static_cast<double>(fleet_size_);
+    double const reserved = whole / (1 + options_.reserve);
+    // Less than one retry would allow none, so a part of the reserve yields.
+    return whole >= 1 ? std::max(reserved, 1.0) : reserved;
 }
 
 // In a small fleet the shares are large: half of a share is the bucket
