Answer requests that wait in the sockets when a server stops accepting

Cause (report of an operator of a similar system: requests that had just been accepted were cut off in a planned stop under load): closing the acceptor resets connections in its queue, and an idle connection was closed although a request was waiting in its socket.

Change: stop_accepting takes the connections that exist, close_idle leaves those with unread bytes.

Tests: a row each for a queued connection and an unread request; both callers get their answer.

--- a/include/yuccabeam/http1/server.hpp
+++ b/include/yuccabeam/http1/server.hpp
@@ -79,9 +79,10 @@
     /// Sends `Connection: close` with each later response and closes its
     /// connection after it.
     void announce_close();
-    /// Stops accepting new connections.
+    /// Accepts the connections that have been made already, and no more.
     void stop_accepting();
-    /// Closes connections on which no request has begun.
+    /// Closes connections on which no request has begun, not even one that is
+    /// still to be read.
     void close_idle();
 
     /// Number of requests whose response is not completely sent.
--- a/src/yuccabeam/http1/server.cpp
+++ b/src/yuccabeam/http1/server.cpp
@@ -52,6 +52,8 @@
 
     void accept();
     void retry_accept();
+    void accept_waiting();
+    void add(tcp::socket socket);
 };
 
 namespace {
@@ -74,7 +76,9 @@
     }
 
     void close_if_idle() {
-        if (state_ == state::reading && !parser_.started())
+        std::error_code ignored;
+        if (state_ == state::reading && !parser_.started() && input_.empty() &&
+            socket_.available(ignored) == 0)
             close();
     }
 
@@ -373,15 +377,32 @@
                 self->retry_accept();
                 return;
             }
-            ++self->counters.accepted;
-            auto connection =
-                std::make_shared<http1::connection>(self, std::move(socket));
-            self->open.insert(connection);
-            connection->start();
             self->accept();
+            self->add(std::move(socket));
         });
 }
 
+void server::implementation::add(tcp::socket socket) {
+    ++counters.accepted;
+    auto connection = std::make_shared<http1::connection>(shared_from_this(),
+                                                          std::move(socket));
+    open.insert(connection);
+    connection->start();
+}
+
+// Closing the acceptor would reset the connections in its queue, on which a
+// caller may have sent a request already.
+void server::implementation::accept_waiting() {
+    std::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(executor);
+        acceptor.accept(socket, error);
+        if (!error)
+            add(std::move(socket));
+    }
+}
+
 void server::implementation::retry_accept() {
     accept_timer.start(accept_retry_delay, [self = shared_from_this()] {
         if (self->acceptor.is_open())
@@ -433,6 +454,8 @@
 }
 
 void server::stop_accepting() {
+    if (self_->acceptor.is_open())
+        self_->accept_waiting();
     std::error_code ignored;
     self_->acceptor.close(ignored);
     self_->accept_timer.cancel();
--- a/src/yuccabeam/http1/server_test.cpp
+++ b/src/yuccabeam/http1/server_test.cpp
@@ -223,3 +223,40 @@
     f.context.poll();
     CHECK(f.seen.size() == 1);
 }
+
+// Guards against callers whose requests are reset when a daemon stops, because
+// it had not read them yet.
+TEST_CASE("requests that were sent before the server stopped accepting are "
+          "answered") {
+    struct row {
+        char const* guards;
+        bool accepted; ///< before the server stops accepting
+    };
+    row const rows[] = {
+        {"a connection in the queue of the acceptor", false},
+        {"an idle connection whose request is not read yet", true},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.guards);
+        fixture f;
+        auto socket = f.connect();
+        if (row.accepted)
+            run_until(f.context,
+                      [&] { return f.under_test.connections() == 1; });
+        std::string const text = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+        asio::write(socket, asio::buffer(text));
+        f.under_test.announce_close();
+        f.under_test.stop_accepting();
+        f.under_test.close_idle();
+        std::string answer;
+        std::array<char, 4096> buffer{};
+        bool ended = false;
+        socket.async_read_some(asio::buffer(buffer),
+                               [&](std::error_code, std::size_t size) {
+                                   answer.assign(buffer.data(), size);
+                                   ended = true;
+                               });
+        run_until(f.context, [&] { return ended; });
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+    }
+}
