Survive unexpected errors, pauses and a stop under load

Reports of operators of similar systems, looked for here: - A process was taken down by one unexpected error. It could: an exception in a handler left context.run(). run_until_stopped reports it and goes on; a datagram whose handler throws no longer ends the receiving of datagrams, and a connection that can't be added no longer ends accepting. - A paused process acted on what had run out meanwhile. The process ended as soon as no request was active, with unread requests and unread responses in its sockets; it now ends when no connection is left.

--- a/include/yuccabeam/gateway/drain.hpp
+++ b/include/yuccabeam/gateway/drain.hpp
@@ -22,8 +22,9 @@
 enum class drain_step {
     serve,          ///< the load balancer may still send requests
     stop_accepting, ///< only requests in flight are finished
-    /// Out of rotation with no request in flight, or the time until the kill is
-    /// `reserve` or less.
+    /// Out of rotation with no connection left, or the time until the kill is
+    /// `reserve` or less. A connection without a request in flight may have one
+    /// that is not read yet, or a response that the caller hasn't received.
     end
 };
 
@@ -35,13 +36,13 @@
 }
 
 /// The step of a daemon's shutdown `elapsed` after its stop signal.
-constexpr drain_step next_drain_step(duration elapsed, std::size_t active,
+constexpr drain_step next_drain_step(duration elapsed, std::size_t connections,
                                      drain_options const& options) {
     if (elapsed >= options.grace - options.reserve)
         return drain_step::end;
     if (accepts_requests(elapsed, options))
         return drain_step::serve;
-    return active == 0 ? drain_step::end : drain_step::stop_accepting;
+    return connections == 0 ? drain_step::end : drain_step::stop_accepting;
 }
 
 } // namespace yuccabeam::gateway
--- a/include/yuccabeam/gateway/gateway_daemon.hpp
+++ b/include/yuccabeam/gateway/gateway_daemon.hpp
@@ -6,6 +6,7 @@
 
 #include <asio/io_context.hpp>
 #include <memory>
+#include <string>
 
 namespace yuccabeam::gateway {
 
@@ -28,6 +29,8 @@
 
     /// Applies reloaded settings. Only those that can change at run time take
     /// effect: the seeds and the grace period.
+    /// Logs an exception that left a handler of the event loop.
+    void report_error(std::string const& what);
     void reload(settings const& settings);
 
     struct implementation;
--- a/include/yuccabeam/gateway/program.hpp
+++ b/include/yuccabeam/gateway/program.hpp
@@ -2,6 +2,9 @@
 
 #include "yuccabeam/gateway/formats.hpp"
 
+#include <asio/io_context.hpp>
+#include <exception>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -18,6 +21,13 @@
 std::optional<program_options>
 parse_arguments(int argc, char const* const* argv, std::string default_path);
 
+/// Runs the event loop until it is stopped or has nothing to do. An exception
+/// that leaves a handler is passed to `on_error` and ends that handler only:
+/// one malformed message must not end all other requests.
+void run_until_stopped(
+    asio::io_context& context,
+    std::function<void(std::exception const&)> const& on_error);
+
 /// Runs a gateway until a stop signal; returns the process's exit status.
 ///
 /// SIGTERM and SIGINT shut down gracefully, SIGHUP reloads the settings.
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -35,7 +35,8 @@
       peers(peer_link_options_of(settings), target_table, peer_callbacks()),
       dependencies(make_exchange_dependencies()),
       ticker(context.get_executor()), policies(formats.content, log, counters),
-      router(dependencies, policies) {}
+      router(dependencies, policies, [this] { return may_serve(boot_now()); }) {
+}
 
 result<void> implementation::start() {
     store_sync_options options;
@@ -139,6 +140,7 @@
         executor, [this] { return policies.policy().limits; },
         [this](http1::incoming_request request, http1::responder_ptr caller) {
             // Not left to the next tick, which may be late.
+            gate.on_running(boot_now());
             if (!accepts_requests(boot_now()))
                 router.close();
             router.serve(std::move(request), std::move(caller));
@@ -199,8 +201,10 @@
 void implementation::on_tick(time_point now) {
     if (store->last_call_failed())
         last_outage = now;
+    gate.on_running(now);
     store->tick(now);
     catch_up(now);
+    router.serve_waiting();
     router.expire(now);
     target_table.expire(now);
     usage.on_tick(target_table, log, now);
@@ -246,12 +250,16 @@
                                      drain_options_of(settings));
 }
 
+bool implementation::may_serve(time_point now) const {
+    return gate.open(now, now - store->copy_age(now));
+}
+
 void implementation::check_stop(time_point now) {
     if (!stopping_since)
         return;
     auto const elapsed = now - *stopping_since;
-    auto const step =
-        next_drain_step(elapsed, callers->active(), drain_options_of(settings));
+    auto const step = next_drain_step(elapsed, callers->connections(),
+                                      drain_options_of(settings));
     if (step == drain_step::serve)
         return;
     router.close();
@@ -282,6 +290,13 @@
     self_->begin_stop();
 }
 
+void gateway_daemon::report_error(std::string const& what) {
+    self_->counters.count("unexpected_errors");
+    self_->log.write("unexpected_error", {{"what", what}});
+    // The error may have ended the chain of ticks.
+    self_->schedule_tick();
+}
+
 void gateway_daemon::reload(settings const& settings) {
     auto& own = self_->settings;
     own.seeds = settings.seeds;
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -9,6 +9,7 @@
 #include "yuccabeam/gateway/peer_link.hpp"
 #include "yuccabeam/gateway/request_router.hpp"
 #include "yuccabeam/gateway/service_budgets.hpp"
+#include "yuccabeam/gateway/serving_gate.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
 #include "yuccabeam/gateway/target_entries.hpp"
 #include "yuccabeam/gateway/usage_report.hpp"
@@ -68,6 +69,7 @@
     result<void> listen();
     bool ready() const;
     bool accepts_requests(time_point now) const;
+    bool may_serve(time_point now) const;
     void log_readiness_change();
     void schedule_tick();
     void record_loop_delay(duration delay);
@@ -102,6 +104,7 @@
     usage_report usage;
 
     active_policy policies;
+    serving_gate gate;
     request_router router;
     bool was_ready = false;
     std::optional<time_point> stopping_since;
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -61,6 +61,8 @@
 void implementation::on_store_changed(mirror::store_changes const& changes,
                                       bool from_store) {
     auto const now = boot_now();
+    if (policies.empty() && !from_store)
+        gate.on_unconfirmed_copy(now);
     policies.update(store->mirror(), now);
     auto const& content = formats.content;
     if (affects(changes, content.target_prefix))
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -226,7 +226,7 @@
           "and exits before it is killed") {
     struct row {
         duration elapsed;
-        std::size_t active;
+        std::size_t connections;
         drain_step expected;
     };
     row const rows[] = {
@@ -238,7 +238,8 @@
         {5900ms, 1, drain_step::end},
     };
     for (auto const& row : rows)
-        CHECK(next_drain_step(row.elapsed, row.active, {}) == row.expected);
+        CHECK(next_drain_step(row.elapsed, row.connections, {}) ==
+              row.expected);
 }
 
 // Guards against a response whose nesting overflows the stack of the recursive
--- a/src/yuccabeam/gateway/program.cpp
+++ b/src/yuccabeam/gateway/program.cpp
@@ -48,6 +48,19 @@
 
 } // namespace
 
+void run_until_stopped(
+    asio::io_context& context,
+    std::function<void(std::exception const&)> const& on_error) {
+    for (;;) {
+        try {
+            context.run();
+            return;
+        } catch (std::exception const& error) {
+            on_error(error);
+        }
+    }
+}
+
 std::optional<program_options>
 parse_arguments(int argc, char const* const* argv, std::string default_path) {
     program_options out{std::move(default_path)};
@@ -86,7 +99,9 @@
     }
     asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     wait_for_signal(signals, daemon, path);
-    context.run();
+    run_until_stopped(context, [&daemon](std::exception const& error) {
+        daemon.report_error(error.what());
+    });
     return 0;
 }
 
--- a/src/yuccabeam/gateway/request_router.cpp
+++ b/src/yuccabeam/gateway/request_router.cpp
@@ -23,11 +23,12 @@
         refuse_stopping(request, *caller);
         return;
     }
-    if (policies_.empty()) {
-        dependencies_.counters.count("held_for_policy");
+    if (policies_.empty() || !may_serve_()) {
+        dependencies_.counters.count(policies_.empty() ? "held_for_policy"
+                                                       : "held_for_copy");
         if (auto refused = waiting_.add(
                 {std::move(request), std::move(caller), boot_now()}))
-            refuse_without_policy(*refused);
+            refuse_waiting(*refused);
         return;
     }
     auto const host = http1::field_value(request.head.fields, "Host");
@@ -43,7 +44,8 @@
 }
 
 void request_router::serve_waiting() {
-    if (policies_.empty() || dependencies_.target_table.size() == 0)
+    if (policies_.empty() || dependencies_.target_table.size() == 0 ||
+        !may_serve_())
         return;
     for (auto& held : waiting_.take_all())
         serve(std::move(held.request), std::move(held.caller));
@@ -51,7 +53,7 @@
 
 void request_router::expire(time_point now) {
     for (auto const& held : waiting_.take_expired(now))
-        refuse_without_policy(held);
+        refuse_waiting(held);
 }
 
 void request_router::close() {
@@ -67,10 +69,11 @@
     caller.send(not_run_response(id, "stopping", retry_after_stopping));
 }
 
-void request_router::refuse_without_policy(pending_request const& held) {
+void request_router::refuse_waiting(pending_request const& held) {
     auto const id = request_id_of(held.request, dependencies_.headers);
-    log_refusal(id, "no_policy");
-    held.caller->send(not_run_response(id, "no_policy", retry_after_unready));
+    auto const* reason = policies_.empty() ? "no_policy" : "unconfirmed_copy";
+    log_refusal(id, reason);
+    held.caller->send(not_run_response(id, reason, retry_after_unready));
 }
 
 void request_router::log_refusal(std::string const& id,
--- a/src/yuccabeam/gateway/request_router_test.cpp
+++ b/src/yuccabeam/gateway/request_router_test.cpp
@@ -41,14 +41,18 @@
         policies.update(store, time_point{});
     }
 
+    static http1::incoming_request request() {
+        http1::incoming_request out;
+        out.head.method = "POST";
+        out.head.target = "/x";
+        out.head.fields = {{"Host", "h"}, {"Id", "r1"}};
+        out.first_byte = time_point{} + 1'000'000h;
+        return out;
+    }
+
     std::shared_ptr<recording_responder> serve() {
         auto out = std::make_shared<recording_responder>();
-        http1::incoming_request request;
-        request.head.method = "POST";
-        request.head.target = "/x";
-        request.head.fields = {{"Host", "h"}, {"Id", "r1"}};
-        request.first_byte = time_point{} + 1'000'000h;
-        router.serve(std::move(request), out);
+        router.serve(request(), out);
         return out;
     }
 };
@@ -88,6 +92,22 @@
     CHECK(f.activities_reported == 0);
 }
 
+// Guards against a resumed process that passes requests on by an old copy.
+TEST_CASE("requests wait while the copy of the store has to be confirmed") {
+    fixture f;
+    f.configure();
+    bool confirmed = false;
+    request_router router(f.dependencies, f.policies,
+                          [&confirmed] { return confirmed; });
+    auto const caller = std::make_shared<recording_responder>();
+    router.serve(f.request(), caller);
+    router.serve_waiting();
+    CHECK(f.activities_reported == 0);
+    confirmed = true;
+    router.serve_waiting();
+    CHECK(f.activities_reported == 1);
+}
+
 // Guards against a limit for new requests that leaves no time to end them.
 TEST_CASE("requests are accepted while the load balancer may send them, and "
           "not later than half of the grace") {
--- a/src/yuccabeam/net/peer_transport.cpp
+++ b/src/yuccabeam/net/peer_transport.cpp
@@ -232,7 +232,12 @@
                                         std::size_t bytes) {
                 if (error == asio::error::operation_aborted)
                     return;
-                self->received(error, bytes);
+                try {
+                    self->received(error, bytes);
+                } catch (...) {
+                    self->receive();
+                    throw;
+                }
                 self->receive();
             });
     }
