--- a/src/yuccabeam/gateway/peer_link_loads.cpp
+++ b/src/yuccabeam/gateway/peer_link_loads.cpp
@@ -239,7 +239,9 @@
         return;
     }
     message.reach = reach::fleet;
-    send(message, table_.live_same_domain_addresses(now));
+    // Also to daemons that have sent no heartbeat yet: after a start of the
+    // whole fleet each failure is news to all.
+    send(message, table_.same_domain_addresses());
     if (!is_root())
         return;
     message.reach = reach::domain;
