Let requests wait for the first configuration of a starting fleet

Cause: when 292 VMs return together, their listings share the store's link; a daemon had its first configuration 0.32 to 0.63 s after its start (trial, all machines lose power for 1.5 s), and 754 requests were refused after 0.25 s as without a configuration.

Change: a request waits up to 0.75 s, as before 0.25 s while the store can't be reached.

--- a/include/yuccabeam/gateway/pending_requests.hpp
+++ b/include/yuccabeam/gateway/pending_requests.hpp
@@ -12,9 +12,12 @@
 
 struct pending_requests_options {
     /// The first configuration usually arrives within some tens of
-    /// milliseconds. A refusal that is later than this costs a caller more than
-    /// an immediate one.
-    duration max_wait = std::chrono::milliseconds(250);
+    /// milliseconds; when all daemons of a large fleet start at once, their
+    /// listings share the store's link and take up to 0.65 s.
+    duration max_wait = std::chrono::milliseconds(750);
+    /// Used instead while the store can't be reached. A refusal that is later
+    /// costs a caller more than an immediate one.
+    duration max_wait_unreachable = std::chrono::milliseconds(250);
     std::size_t max_requests = 512;
 };
 
@@ -38,8 +41,10 @@
     std::optional<pending_request> add(pending_request request);
     /// Removes and returns all requests in order of arrival.
     std::vector<pending_request> take_all();
-    /// Removes and returns the requests that have waited for `max_wait`.
-    std::vector<pending_request> take_expired(time_point now);
+    /// Removes and returns the requests that have waited for `max_wait`, or
+    /// for `max_wait_unreachable` if the store can't be reached.
+    std::vector<pending_request> take_expired(time_point now,
+                                              bool store_reachable);
 
     std::size_t size() const { return waiting_.size(); }
 
--- a/src/yuccabeam/gateway/pending_requests.cpp
+++ b/src/yuccabeam/gateway/pending_requests.cpp
@@ -19,10 +19,12 @@
     return out;
 }
 
-std::vector<pending_request> pending_requests::take_expired(time_point now) {
+std::vector<pending_request>
+pending_requests::take_expired(time_point now, bool store_reachable) {
+    auto const limit =
+        store_reachable ? options_.max_wait : options_.max_wait_unreachable;
     std::vector<pending_request> out;
-    while (!waiting_.empty() &&
-           now - waiting_.front().since >= options_.max_wait) {
+    while (!waiting_.empty() && now - waiting_.front().since >= limit) {
         out.push_back(std::move(waiting_.front()));
         waiting_.pop_front();
     }
