List the store from an older state at a start, and announce listings

A listing after a lost history is current and announced like the answer of a watch, so that peers pull it from the daemon that has it.

--- a/include/yuccabeam/gateway/formats.hpp
+++ b/include/yuccabeam/gateway/formats.hpp
@@ -43,8 +43,8 @@
 /// Builds the requests to the key-value store and parses its responses.
 /// Addresses and timeouts are set by the caller.
 struct store_format {
-    std::function<http1::client_request(std::string_view prefix,
-                                        std::string_view after_key)>
+    std::function<http1::client_request(
+        std::string_view prefix, std::string_view after_key, bool may_be_stale)>
         list;
     std::function<std::optional<mirror::store_page>(std::string const& body)>
         read_page;
--- a/include/yuccabeam/gateway/request_router.hpp
+++ b/include/yuccabeam/gateway/request_router.hpp
@@ -31,7 +31,7 @@
     /// and `may_serve` returns true.
     void serve_waiting();
     /// Refuses the queued requests that have waited too long.
-    void expire(time_point now);
+    void expire(time_point now, bool store_reachable);
     /// Refuses the queued requests and all later ones, as this daemon stops.
     void close();
 
--- a/include/yuccabeam/gateway/serving_gate.hpp
+++ b/include/yuccabeam/gateway/serving_gate.hpp
@@ -16,9 +16,9 @@
 };
 
 /// Holds requests while this daemon's copy of the store may be outdated without
-/// its knowledge: after a pause of its process, and after a start from the copy
-/// of one peer. A target that has left meanwhile, or a route that was removed,
-/// would still be used.
+/// its knowledge: after a pause of its process, and after a start from a stale
+/// listing or the copy of one peer. A target that has left meanwhile, or a
+/// route that was removed, would still be used.
 class serving_gate {
 public:
     explicit serving_gate(serving_gate_options options = {})
@@ -26,7 +26,7 @@
 
     /// The event loop runs. Closes the gate after a pause.
     void on_running(time_point now);
-    /// The first copy came from a peer.
+    /// The first copy is a stale listing or that of one peer.
     void on_unconfirmed_copy(time_point now) { closed_at_ = now; }
 
     /// True if the copy was confirmed since the gate was closed, or the longest
--- a/include/yuccabeam/gateway/store_schedule.hpp
+++ b/include/yuccabeam/gateway/store_schedule.hpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds max_check_delay{200};
 
 struct store_schedule_options {
+    /// The store may answer the first listing from an older state.
+    bool stale_first_listing = true;
     std::chrono::milliseconds list_timeout{1'500};
     /// Time for which the store holds a watch open when nothing changes. Each
     /// response confirms the copies of the daemons that receive the watcher's
@@ -45,6 +47,8 @@
 /// A call to the store that is due.
 struct planned_call {
     store_call kind = store_call::list;
+    /// The store may answer a listing from an older state, at a lower price.
+    bool may_be_stale = false;
     std::chrono::milliseconds wait{}; ///< how long the store may wait
     std::chrono::milliseconds timeout{};
 };
@@ -52,6 +56,10 @@
 /// Schedules a daemon's reads of the store: one listing, then watches while the
 /// daemon should watch the store, and retries with backoff after failures.
 ///
+/// The first listing may be stale. It doesn't confirm the copy, so a check
+/// follows at once. A listing because the store has forgotten its history is
+/// never stale, as the history since an older state would be missing again.
+///
 /// A response of the store confirms that the copy was current at that moment,
 /// and heartbeats carry the age of the sender's last confirmation. A daemon
 /// whose confirmation is too old checks with the store directly, whatever the
@@ -61,12 +69,12 @@
 class store_schedule {
 public:
     explicit store_schedule(store_schedule_options options = {})
-        : options_(options) {}
+        : options_(options), next_listing_stale_(options.stale_first_listing) {}
 
     /// Returns the next call if one is due, and marks it as in flight.
     std::optional<planned_call> next(bool should_watch, time_point now);
 
-    void on_answer(store_call kind, bool has_changes, time_point now);
+    void on_answer(planned_call const& call, bool has_changes, time_point now);
     void on_failure(store_call kind, time_point now);
     /// The store no longer keeps the changes since this daemon's revision.
     void on_history_gone(store_call kind);
@@ -74,9 +82,14 @@
     void on_peer_changes();
     /// The copy was confirmed to be current at `at`.
     void on_confirmed(time_point at);
-    time_point confirmed_at() const { return confirmed_at_; }
-    /// Time since the copy was last confirmed to be current.
-    duration copy_age(time_point now) const { return now - confirmed_at_; }
+    time_point confirmed_at() const {
+        return confirmed_at_.value_or(time_point{});
+    }
+    /// Time since the copy was last confirmed to be current; a day if it never
+    /// was.
+    duration copy_age(time_point now) const {
+        return confirmed_at_ ? now - *confirmed_at_ : std::chrono::hours(24);
+    }
 
     /// This daemon watches the store and its last watch succeeded.
     bool watching() const { return watching_; }
@@ -91,12 +104,13 @@
     store_schedule_options options_;
     bool list_or_watch_in_flight_ = false;
     bool check_in_flight_ = false;
+    bool next_listing_stale_;
     bool listing_due_ = true;
     bool watching_ = false;
     int consecutive_failures_ = 0;
     time_point next_call_{};
     time_point next_check_{};
-    time_point confirmed_at_{};
+    std::optional<time_point> confirmed_at_;
 };
 
 } // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -205,7 +205,7 @@
     store->tick(now);
     catch_up(now);
     router.serve_waiting();
-    router.expire(now);
+    router.expire(now, !store->last_call_failed());
     target_table.expire(now);
     usage.on_tick(target_table, log, now);
     budgets.on_fleet_size(peers.table().known_count() + 1, now);
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -48,6 +48,7 @@
     void fill_heartbeat(heartbeat& out);
     void on_heartbeat(heartbeat const& message, bool is_new);
     bool on_peer_changes(change_message const& message);
+    void log_peer(heartbeat const& message, time_point now);
     void publish_notice(std::optional<placement::target_notice> const& notice,
                         service_id const& service, bool retried);
     bool may_retry(service_id const& id, time_point now);
@@ -99,6 +100,8 @@
     net::one_shot_timer ticker;
     time_point last_tick{};
     time_point next_rate_update{};
+    std::size_t peers_heard = 0; ///< since the last line about them
+    time_point next_peer_line{};
     bool watch_decision = true;
     time_point next_watch_decision{};
     usage_report usage;
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -16,6 +16,10 @@
 // Time after a peer has announced a newer revision during which its changes may
 // still arrive by datagram. After it they are pulled.
 constexpr duration pull_delay = std::chrono::milliseconds(60);
+// Daemons that are heard in this time share a line of the log.
+constexpr duration peer_line_period = std::chrono::milliseconds(100);
+// A first copy of this age is not used before it is confirmed.
+constexpr duration unconfirmed_copy_age = std::chrono::seconds(1);
 // In a large fleet, a pass over all peers in every tick is too expensive.
 constexpr duration watch_decision_period = std::chrono::milliseconds(200);
 // For this time after an outage of the store, the loss of many targets at once
@@ -61,7 +65,7 @@
 void implementation::on_store_changed(mirror::store_changes const& changes,
                                       bool from_store) {
     auto const now = boot_now();
-    if (policies.empty() && !from_store)
+    if (policies.empty() && store->copy_age(now) >= unconfirmed_copy_age)
         gate.on_unconfirmed_copy(now);
     policies.update(store->mirror(), now);
     auto const& content = formats.content;
@@ -89,8 +93,17 @@
                    {"store_revision", std::to_string(entry.revision)}});
     bool const after_outage =
         last_outage && now - *last_outage < recent_outage_period;
-    for (auto const& change : target_table.replace(
-             target_list.targets(), after_outage, now, store->changed_after()))
+    bool const first = target_table.size() == 0;
+    auto const changes = target_table.replace(
+        target_list.targets(), after_outage, now, store->changed_after());
+    if (first) {
+        log.write(
+            "targets_loaded",
+            {{"targets", std::to_string(target_table.size())},
+             {"store_revision", std::to_string(store->mirror().revision())}});
+        return;
+    }
+    for (auto const& change : changes)
         log.write(
             "target_changed",
             {{"target", change.target.value},
@@ -170,9 +183,7 @@
 void implementation::on_heartbeat(heartbeat const& message, bool is_new) {
     auto const now = boot_now();
     if (is_new)
-        log.write("peer_heard",
-                  {{"peer", message.sender.value},
-                   {"failure_domain", message.failure_domain.value}});
+        log_peer(message, now);
     for (auto const& [service, report] : message.budgets)
         budgets.of(service).on_report(message.sender, report, now);
     store->on_confirmed(message.store_revision, now - message.copy_age);
@@ -180,6 +191,18 @@
         last_outage = now;
 }
 
+// When a fleet starts, all its daemons are heard at once.
+void implementation::log_peer(heartbeat const& message, time_point now) {
+    ++peers_heard;
+    if (now < next_peer_line)
+        return;
+    next_peer_line = now + peer_line_period;
+    log.write("peer_heard", {{"peer", message.sender.value},
+                             {"failure_domain", message.failure_domain.value},
+                             {"peers", std::to_string(peers_heard)}});
+    peers_heard = 0;
+}
+
 void implementation::publish_notice(
     std::optional<placement::target_notice> const& notice,
     service_id const& service, bool retried) {
--- a/src/yuccabeam/gateway/request_router.cpp
+++ b/src/yuccabeam/gateway/request_router.cpp
@@ -51,8 +51,8 @@
         serve(std::move(held.request), std::move(held.caller));
 }
 
-void request_router::expire(time_point now) {
-    for (auto const& held : waiting_.take_expired(now))
+void request_router::expire(time_point now, bool store_reachable) {
+    for (auto const& held : waiting_.take_expired(now, store_reachable))
         refuse_waiting(held);
 }
 
--- a/src/yuccabeam/gateway/store_propagation_test.cpp
+++ b/src/yuccabeam/gateway/store_propagation_test.cpp
@@ -194,7 +194,7 @@
             return;
         }
         bool const first = plan.kind == store_call::list;
-        node.schedule.on_answer(plan.kind, has_changes, now_);
+        node.schedule.on_answer(plan, has_changes, now_);
         update_revision(node, stored());
         if (has_changes && !first)
             forward_changes(node);
--- a/src/yuccabeam/gateway/store_schedule.cpp
+++ b/src/yuccabeam/gateway/store_schedule.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/gateway/store_schedule.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccabeam::gateway {
 
@@ -15,7 +16,7 @@
                                                  time_point now) {
     if (check_due(now)) {
         check_in_flight_ = true;
-        return planned_call{store_call::check, {}, check_timeout()};
+        return planned_call{store_call::check, false, {}, check_timeout()};
     }
     if (list_or_watch_in_flight_ || now < next_call_)
         return std::nullopt;
@@ -25,8 +26,11 @@
     }
     list_or_watch_in_flight_ = true;
     if (listing_due_)
-        return planned_call{store_call::list, {}, options_.list_timeout};
-    return planned_call{store_call::watch, options_.watch_wait,
+        return planned_call{store_call::list,
+                            std::exchange(next_listing_stale_, false),
+                            {},
+                            options_.list_timeout};
+    return planned_call{store_call::watch, false, options_.watch_wait,
                         options_.watch_wait + options_.watch_timeout_margin};
 }
 
@@ -41,14 +45,15 @@
                         (1 << std::min(consecutive_failures_, 4)));
 }
 
-void store_schedule::on_answer(store_call kind, bool has_changes,
+void store_schedule::on_answer(planned_call const& call, bool has_changes,
                                time_point now) {
-    in_flight(kind) = false;
+    in_flight(call.kind) = false;
     consecutive_failures_ = 0;
-    on_confirmed(now);
-    if (kind == store_call::list)
+    if (!call.may_be_stale)
+        on_confirmed(now);
+    if (call.kind == store_call::list)
         listing_due_ = false;
-    if (kind != store_call::watch)
+    if (call.kind != store_call::watch)
         return;
     watching_ = true;
     if (has_changes)
@@ -83,7 +88,7 @@
 }
 
 void store_schedule::on_confirmed(time_point at) {
-    confirmed_at_ = std::max(confirmed_at_, at);
+    confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, at) : at;
 }
 
 } // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/store_schedule_test.cpp
+++ b/src/yuccabeam/gateway/store_schedule_test.cpp
@@ -11,9 +11,13 @@
 constexpr time_point start{1'000s};
 
 store_schedule copied_schedule() {
-    store_schedule out;
-    REQUIRE(out.next(false, start)->kind == store_call::list);
-    out.on_answer(store_call::list, true, start);
+    store_schedule_options options;
+    options.stale_first_listing = false;
+    store_schedule out(options);
+    auto const call = out.next(false, start);
+    REQUIRE(call);
+    REQUIRE(call->kind == store_call::list);
+    out.on_answer(*call, true, start);
     return out;
 }
 
@@ -68,7 +72,7 @@
     CHECK(timeout == options.list_timeout);
     CHECK(calls <= 25);
     CHECK(schedule.last_call_failed());
-    schedule.on_answer(store_call::check, false, now);
+    schedule.on_answer({store_call::check}, false, now);
     CHECK_FALSE(schedule.last_call_failed());
 }
 
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -85,7 +85,7 @@
 
 void store_sync::list(planned_call const& plan, std::string after) {
     ++counters_.listings;
-    call(format_.list("", after), plan.timeout,
+    call(format_.list("", after, plan.may_be_stale), plan.timeout,
          [this, plan](store_status status, client_result response) {
              if (status == store_status::ok)
                  on_page(plan, response);
@@ -101,8 +101,10 @@
         fail(plan, store_status::failed, response);
         return;
     }
-    if (listed_.empty() && listing_revision_ == 0)
-        listing_revision_ = page->revision;
+    // The pages of a stale listing may come from states of different age.
+    listing_revision_ = listing_revision_ == 0
+                            ? page->revision
+                            : std::min(listing_revision_, page->revision);
     auto const last = page->items.empty() ? "" : page->items.back().key;
     std::ranges::move(page->items, std::back_inserter(listed_));
     if (page->more && !last.empty()) {
@@ -113,6 +115,10 @@
     mirror_.replace(std::move(listed_), listing_revision_);
     listed_.clear();
     callbacks_.changed(mirror_.changes_since(0), true);
+    // Otherwise all daemons would list the store when it has forgotten its
+    // history.
+    if (!plan.may_be_stale)
+        callbacks_.confirmed();
 }
 
 void store_sync::watch(planned_call const& plan) {
@@ -163,7 +169,7 @@
         log_.write("store_regained",
                    {{"revision", std::to_string(mirror_.revision())}});
     changed_after_ = schedule_.confirmed_at();
-    schedule_.on_answer(plan.kind, has_changes, boot_now());
+    schedule_.on_answer(plan, has_changes, boot_now());
 }
 
 void store_sync::fail(planned_call const& plan, store_status status,
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -20,7 +20,7 @@
 
 store_format plain_format() {
     store_format out;
-    out.list = [](auto, auto) { return http1::client_request{}; };
+    out.list = [](auto, auto, auto) { return http1::client_request{}; };
     out.read_page = [](std::string const& body) {
         auto const item = item_of(body);
         return mirror::store_page{{item}, false, item.revision};
@@ -58,7 +58,8 @@
 
     explicit fixture(
         std::vector<scripted_peer::reply> replies,
-        std::chrono::milliseconds max_copy_age = std::chrono::hours(1))
+        std::chrono::milliseconds max_copy_age = std::chrono::hours(1),
+        bool stale_first_listing = false)
         : store(context, std::move(replies)) {
         store_sync_options options;
         options.address = store.address();
@@ -67,6 +68,7 @@
         options.schedule.watch_timeout_margin =
             std::chrono::milliseconds(1'000);
         options.schedule.batch_pause = {};
+        options.schedule.stale_first_listing = stale_first_listing;
         options.schedule.max_copy_age = max_copy_age;
         store_sync_callbacks callbacks;
         callbacks.changed = [](auto const&, bool) {};
@@ -141,3 +143,15 @@
     CHECK(f.sync->loaded());
     CHECK_FALSE(f.sync->apply_peer_changes({20, 21, {}}));
 }
+
+// Guards against a configuration or a target from an older state of the store
+// that is taken for the current one.
+TEST_CASE(
+    "a stale first listing is checked before the copy counts as current") {
+    fixture f({{body("3 a")}, {body("5 b")}}, std::chrono::hours(1), true);
+    REQUIRE(f.reaches(3));
+    CHECK(f.sync->copy_age(adapters::boot_now()) >= std::chrono::hours(1));
+    REQUIRE(f.reaches(5));
+    CHECK(f.sync->counters().checks == 1);
+    CHECK(f.sync->copy_age(adapters::boot_now()) < std::chrono::hours(1));
+}
