Make the linter and the formatter pass on the relays and the transport

A reserve before a loop of push_back, an endpoint that can be moved out, and the formatting of two headers of the codec.

--- a/include/yuccabeam/codec/message_fault.hpp
+++ b/include/yuccabeam/codec/message_fault.hpp
@@ -7,10 +7,10 @@
 
 /// Why the bytes of a message were rejected.
 enum class message_fault : std::uint8_t {
-    malformed,       ///< not MessagePack, or a field of another type
-    unknown_kind,    ///< a kind of message unknown to this version
-    out_of_range,    ///< a field outside its limits
-    unknown_version  ///< a message of another version of the protocol
+    malformed,      ///< not MessagePack, or a field of another type
+    unknown_kind,   ///< a kind of message unknown to this version
+    out_of_range,   ///< a field outside its limits
+    unknown_version ///< a message of another version of the protocol
 };
 
 constexpr std::string_view to_string(message_fault fault) {
--- a/include/yuccabeam/codec/record_archive.hpp
+++ b/include/yuccabeam/codec/record_archive.hpp
@@ -231,9 +231,8 @@
 /// the input by more than a constant factor. Strings refer to `data`, which
 /// must outlive the result. Returns an empty handle for malformed or trailing
 /// bytes.
-inline msgpack::object_handle
-unpack_limited(std::span<std::uint8_t const> data,
-               std::size_t least_item_bytes = 1) {
+inline msgpack::object_handle unpack_limited(std::span<std::uint8_t const> data,
+                                             std::size_t least_item_bytes = 1) {
     auto const max_items = data.size() / least_item_bytes;
     auto const refer = [](msgpack::type::object_type, std::size_t, void*) {
         return true;
--- a/src/yuccabeam/gateway/peer_link_loads.cpp
+++ b/src/yuccabeam/gateway/peer_link_loads.cpp
@@ -111,6 +111,7 @@
         if (now - known.heard_at < relay_memory)
             relays[domain] = known.address;
     std::vector<std::string> out;
+    out.reserve(relays.size());
     for (auto& [domain, address] : relays)
         out.push_back(std::move(address));
     return out;
--- a/src/yuccabeam/net/peer_transport.cpp
+++ b/src/yuccabeam/net/peer_transport.cpp
@@ -135,7 +135,7 @@
     std::optional<udp::endpoint> accept(std::vector<std::uint8_t> const& data,
                                         std::string const& to,
                                         duration& delay) {
-        auto const endpoint = parse_endpoint(to);
+        auto endpoint = parse_endpoint(to);
         std::lock_guard const lock(mutex_);
         if (closed_)
             return std::nullopt;
