Keep all registered daemons known after each change of the store

Cause: adds only the addresses whose entries changed. A daemon that is silent for 60 s is forgotten, and its entry doesn't change while its lease is renewed, so after a long partition it would stay forgotten. Found by reading the diff; no test shows it yet.

Compiled only.

--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -71,9 +71,10 @@
     auto const& content = formats.content;
     if (affects(changes, content.target_prefix))
         apply_targets(now);
-    for (auto const& event : changes.events)
-        if (!event.removed && event.item.key.starts_with(content.daemon_prefix))
-            peers.table().add_address(event.item.value, now);
+    // Not only the changed ones: a registered daemon that was silent for long
+    // would otherwise stay forgotten after its partition ends.
+    for (auto const* item : store->mirror().with_prefix(content.daemon_prefix))
+        peers.table().add_address(item->value, now);
     budgets.on_fleet_size(peers.table().known_count() + 1, now);
     if (from_store && changes.base != 0)
         peers.forward_changes(changes, now);
