--- a/src/yuccabeam/bench/placement_world_test.cpp
+++ b/src/yuccabeam/bench/placement_world_test.cpp
@@ -135,6 +135,22 @@
           least_served);
 }
 
+// Guards against a sound target that is full while its peers reset requests:
+// what has little time then gets through nowhere.
+TEST_CASE("requests with little time are served beside one full target and "
+          "three that reset") {
+    auto scenario = lost_service(4, loss_kind::refuses, 10);
+    scenario.losses.front().at = seconds(22);
+    scenario.troubles = {
+        {target_trouble::reset, 0.85, 3, seconds(28), seconds(5)}};
+    scenario.failing_share = 0;
+    std::vector<placement_result> results;
+    for (scenario.seed = 1; scenario.seed <= seeds; ++scenario.seed)
+        results.push_back(run_placement(scenario));
+    CHECK(mean_served(results, &placement_result::window_checks) >=
+          least_served);
+}
+
 // Guards against repeats above the allowance in the same plays.
 TEST_CASE("repeats stay within the allowance when a service loses most "
           "targets") {
