Let idempotent requests wait in the daemon for a slot of a crowded target

Cause: requests went into the target's queue, first come first served, or to targets in a spell of resets, whose retries used up the credit. The target worked on requests that had no time left. Change: an idempotent request stays in the daemon while the best sound target has more requests queued than a third of its slots, looks about twelve times and then goes elsewhere or is refused unrun (decision 0015). A retry that waits keeps its credit until it is sent or the request ends.

--- a/include/yuccabeam/placement/request_dispatch.hpp
+++ b/include/yuccabeam/placement/request_dispatch.hpp
@@ -31,6 +31,14 @@
     /// requests, for the check before the deadline; the earlier of the two
     /// applies there.
     double overdue_factor = 3;
+    /// An idempotent request waits in the daemon while the best target that
+    /// isn't suspected is crowded: for this share of its latency objective, and
+    /// no longer than its deadline allows at the usual service time.
+    double wait_share = 0.35;
+    /// Mean time between two looks at the targets, as a share of the longest
+    /// wait: a request with little time looks as often as one with more.
+    double look_share = 0.08;
+    duration least_look_time = std::chrono::milliseconds(5);
 };
 
 /// The properties of a request that determine the choice of its targets.
@@ -120,14 +128,15 @@
     dispatch_step start(time_point now);
     dispatch_step on_attempt_end(std::size_t attempt, attempt_outcome outcome,
                                  time_point now, std::size_t answer_bytes = 0);
-    /// Called at the time of `next_check`: hedges an idempotent request if the
+    /// Called at the time of `next_check`: looks at the targets again if the
+    /// request waits for a slot. Otherwise hedges an idempotent request if the
     /// attempts left, the retry budget, the spare capacity and the targets
     /// allow it; for any other request, records that the target is overdue if
     /// the service has spare capacity.
     dispatch_step on_check(time_point now);
     dispatch_step on_deadline(time_point now);
     /// Cancels all running attempts without any evidence about their targets.
-    dispatch_step abandon();
+    dispatch_step abandon(time_point now);
 
     /// Time at which `on_check` is due; empty if no check is pending.
     std::optional<time_point> next_check() const { return next_check_; }
@@ -138,6 +147,8 @@
     /// have executed the request; cancelled attempts are not included.
     bool may_have_run() const { return ran_; }
     bool ended() const { return ended_; }
+    /// True while the request waits for a slot of a crowded target.
+    bool waiting() const { return waiting_; }
     /// True if a target responded successfully.
     bool succeeded() const { return succeeded_; }
     std::uint32_t attempts_sent() const { return sent_; }
@@ -146,15 +157,18 @@
 
 private:
     choice_request next_choice(time_point now) const;
-    void cancel_running(dispatch_step& step);
+    void cancel_running(time_point now, dispatch_step& step);
     void add_activity(target_id const& id, dispatch_step& step);
     bool enough_time(time_point now) const;
     dispatch_step try_next(time_point now, dispatch_step step);
+    bool waits_for_slot(choice const& chosen, time_point now) const;
+    dispatch_step wait_for_slot(time_point now, dispatch_step step);
     dispatch_step send(choice const& chosen, time_point now,
                        dispatch_step step);
-    dispatch_step send_retry(time_point now, dispatch_step step);
-    dispatch_step end(std::string_view reason, dispatch_step step);
-    dispatch_step deliver(std::size_t attempt, dispatch_step step);
+    dispatch_step end(std::string_view reason, time_point now,
+                      dispatch_step step);
+    dispatch_step deliver(std::size_t attempt, time_point now,
+                          dispatch_step step);
     dispatch_step hedge(time_point now);
     std::optional<target_notice> record_end(dispatch_attempt const& done,
                                             attempt_outcome outcome,
@@ -174,10 +188,14 @@
     std::vector<target_id> retryable_targets_;
     /// The last attempt that was charged to the retry budget.
     std::optional<std::size_t> retry_attempt_;
+    bool retry_charged_ = false; ///< a retry that is not sent yet
     std::uint32_t sent_ = 0; ///< attempts, without those that failed to connect
     bool ran_ = false;
     bool ended_ = false;
     bool checked_ = false;
+    bool waiting_ = false; ///< for a slot; `next_check_` is the next look
+    time_point wait_end_{};
+    duration look_interval_{}; ///< mean
     bool succeeded_ = false;
     std::optional<time_point> next_check_;
     /// Attempt whose error response is delivered if a later attempt fails
--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -87,6 +87,9 @@
     /// Slot utilisation of a service below which it has spare capacity for
     /// hedged requests and for avoiding targets after a single doubt.
     double room_utilisation = 0.55;
+    /// In-flight requests beyond the slots of a target, as a share of the
+    /// slots, from which the target is crowded.
+    double crowded_queue_share = 0.34;
     /// Validity of a peer's report of its in-flight requests.
     duration activity_memory = std::chrono::seconds(5);
     /// Validity of a load that the relay has distributed. The relay repeats the
@@ -139,6 +142,7 @@
     /// Tried targets at which a retry may succeed, although they are in
     /// `exclude`; chosen if no other target is reachable.
     std::vector<target_id> retryable_targets;
+    bool avoid_crowded = false; ///< leave out crowded targets
 };
 
 /// Targets that a request could still choose.
@@ -166,6 +170,9 @@
     bool suspected = false; ///< for a trial, or no better target
     bool trial = false;     ///< the request is the trial of a suspected target
     bool queued = false;    ///< all its slots are in use
+    bool crowded = false;   ///< more requests than it should have in its queue
+    /// A target that isn't suspected was passed over as it is crowded.
+    bool passed_crowded = false;
     bool already_tried = false; ///< the request failed here before
     std::optional<target_notice> notice;
 };
@@ -250,6 +257,9 @@
     /// True while the utilisation of the service's usable targets, without
     /// suspected and unreachable ones, is below `room_utilisation`.
     bool has_spare_capacity(service_id const& service, time_point now) const;
+    /// A random time between half and one and a half times `mean`, so that
+    /// daemons that wait for the same target don't act at the same moment.
+    duration jittered(duration mean);
     /// Counts the candidates of `choose`.
     other_targets others(choice_request const& wanted, time_point now) const;
 
@@ -398,6 +408,10 @@
     request_conditions
     request_conditions_of(choice_request const& wanted) const;
     target_conditions conditions_of(candidate const& at, time_point now) const;
+    bool crowded(record const& entry, time_point now) const;
+    bool has_crowded_alternative(std::vector<candidate> const& all,
+                                 choice_request const& wanted,
+                                 time_point now) const;
     bool listed(record const& entry) const;
     std::vector<record*> newly_missing();
     std::set<service_id> services_with_mass_loss() const;
--- a/src/yuccabeam/bench/placement_targets.hpp
+++ b/src/yuccabeam/bench/placement_targets.hpp
@@ -19,6 +19,7 @@
     bool in_window = false;        ///< sent in the measured window
     std::uint32_t arrivals = 0;    ///< at targets
     std::shared_ptr<void> process; ///< of the daemon that took it
+    std::optional<time_point> check_planned;
     std::unique_ptr<placement::request_dispatch> dispatch;
 };
 
--- a/src/yuccabeam/bench/placement_world.cpp
+++ b/src/yuccabeam/bench/placement_world.cpp
@@ -211,6 +211,7 @@
             tell_near(from->daemon, activity);
         if (step.action == dispatch_action::send)
             send(from, step.attempt);
+        plan_check(from);
         if (!from->dispatch->ended())
             return;
         count_end(*from, step);
@@ -223,12 +224,18 @@
         auto const work = std::make_shared<model_job>(model_job{from, attempt});
         jobs_[from.get()].push_back({target, work});
         reach(target, work);
-        if (auto const due = from->dispatch->next_check())
-            after(*due - now_, [this, from] {
-                if (!from->dispatch->ended() &&
-                    from->dispatch->next_check() == now_)
-                    follow(from, from->dispatch->on_check(now_));
-            });
+    }
+
+    void plan_check(std::shared_ptr<model_request> const& from) {
+        auto const due = from->dispatch->next_check();
+        if (!due || from->check_planned == due)
+            return;
+        from->check_planned = due;
+        after(*due - now_, [this, from] {
+            if (!from->dispatch->ended() &&
+                from->dispatch->next_check() == now_)
+                follow(from, from->dispatch->on_check(now_));
+        });
     }
 
     void reach(std::size_t target, job_ptr const& work) {
--- a/src/yuccabeam/ctl/log_story.cpp
+++ b/src/yuccabeam/ctl/log_story.cpp
@@ -122,6 +122,9 @@
     if (reason == "no_other_target")
         return "no other target of service " + end.field("service") +
                " was left to try";
+    if (reason == "target_full")
+        return "all targets of service " + end.field("service") +
+               " that could be used had too many requests waiting";
     if (reason == "deadline" && end.field("target").empty())
         return "the request's time ran out before a target was found";
     if (reason == "deadline")
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -137,6 +137,9 @@
             dependencies_.publish_activity(activity);
         switch (step.action) {
         case dispatch_action::wait:
+            if (dispatch_.waiting())
+                dependencies_.counters.count("slot_looks");
+            set_check_timer();
             break;
         case dispatch_action::send:
             send(step.attempt);
@@ -288,7 +291,7 @@
         dependencies_.counters.count("callers_gone");
         log_end("caller_gone",
                 dispatch_.running() == 0 ? "before_sending" : "at_target");
-        execute(dispatch_.abandon());
+        execute(dispatch_.abandon(boot_now()));
         close();
     }
 
--- a/src/yuccabeam/placement/request_dispatch.cpp
+++ b/src/yuccabeam/placement/request_dispatch.cpp
@@ -55,20 +55,52 @@
 
 dispatch_step request_dispatch::start(time_point now) {
     objective_end_ = now + request_.latency_objective;
+    auto const whole = request_.latency_objective.count() == 0
+                           ? request_.deadline - now
+                           : request_.latency_objective;
+    wait_end_ =
+        std::min(now + scaled(whole, options_.wait_share),
+                 request_.deadline - dependencies_.table.loads().service_time(
+                                         request_.service));
+    look_interval_ = std::max(scaled(wait_end_ - now, options_.look_share),
+                              options_.least_look_time);
     dependencies_.budget.on_request(now);
     return try_next(now, {});
 }
 
 dispatch_step request_dispatch::try_next(time_point now, dispatch_step step) {
     if (!enough_time(now))
-        return end("deadline", std::move(step));
-    auto const chosen = dependencies_.table.choose(next_choice(now), now);
+        return end("deadline", now, std::move(step));
+    auto wanted = next_choice(now);
+    auto chosen = dependencies_.table.choose(wanted, now);
+    if (chosen && waits_for_slot(*chosen, now))
+        return wait_for_slot(now, std::move(step));
+    if (chosen && chosen->crowded && request_.idempotent) {
+        wanted.avoid_crowded = true;
+        chosen = dependencies_.table.choose(wanted, now);
+        if (!chosen)
+            return end("target_full", now, std::move(step));
+    }
     if (!chosen)
-        return end(tried_.empty() ? "no_target" : "no_other_target",
+        return end(tried_.empty() ? "no_target" : "no_other_target", now,
                    std::move(step));
     return send(*chosen, now, std::move(step));
 }
 
+bool request_dispatch::waits_for_slot(choice const& chosen,
+                                      time_point now) const {
+    return request_.idempotent && now < wait_end_ &&
+           (chosen.crowded || chosen.passed_crowded);
+}
+
+dispatch_step request_dispatch::wait_for_slot(time_point now,
+                                              dispatch_step step) {
+    waiting_ = true;
+    next_check_ = now + dependencies_.table.jittered(look_interval_);
+    step.action = dispatch_action::wait;
+    return step;
+}
+
 dispatch_step request_dispatch::send(choice const& chosen, time_point now,
                                      dispatch_step step) {
     if (chosen.notice)
@@ -89,6 +121,8 @@
     dependencies_.table.on_start(attempt.to.id, now);
     add_activity(attempt.to.id, step);
     attempts_.push_back(std::move(attempt));
+    if (std::exchange(retry_charged_, false))
+        retry_attempt_ = step.attempt;
     ++sent_;
     schedule_check(now);
     return step;
@@ -112,25 +146,27 @@
     return std::min(latest, scaled(*usual, options_.overdue_factor));
 }
 
-dispatch_step request_dispatch::end(std::string_view reason,
+dispatch_step request_dispatch::end(std::string_view reason, time_point now,
                                     dispatch_step step) {
-    cancel_running(step);
+    cancel_running(now, step);
     step.action = dispatch_action::end;
     step.reason = reason;
     return step;
 }
 
-dispatch_step request_dispatch::deliver(std::size_t attempt,
+dispatch_step request_dispatch::deliver(std::size_t attempt, time_point now,
                                         dispatch_step step) {
-    cancel_running(step);
+    cancel_running(now, step);
     step.action = dispatch_action::deliver;
     step.attempt = attempt;
     return step;
 }
 
-void request_dispatch::cancel_running(dispatch_step& step) {
+void request_dispatch::cancel_running(time_point now, dispatch_step& step) {
     ended_ = true;
     next_check_.reset();
+    if (std::exchange(retry_charged_, false))
+        dependencies_.budget.on_unsent_retry(now);
     for (auto& attempt : attempts_) {
         if (!std::exchange(attempt.running, false))
             continue;
@@ -139,9 +175,9 @@
     }
 }
 
-dispatch_step request_dispatch::abandon() {
+dispatch_step request_dispatch::abandon(time_point now) {
     dispatch_step step;
-    cancel_running(step);
+    cancel_running(now, step);
     return step;
 }
 
@@ -168,42 +204,31 @@
     bool const others_running = running() > 0;
     bool const retry_now =
         step.decision == next_step::try_other && !(others_running && connected);
-    // A retry that failed to connect is already charged to the budget.
-    bool const charge_retry = retry_now && connected;
+    // A retry that failed to connect is already charged to the budget, and so
+    // is one that waits for a slot.
+    bool const charge_retry = retry_now && connected && !retry_charged_;
     if (charge_retry)
         dependencies_.budget.on_retry(now);
     bool const unsent = !connected && retry_attempt_ == attempt;
     if (unsent && !retry_now)
         dependencies_.budget.on_unsent_retry(now);
+    retry_charged_ = retry_charged_ || charge_retry || (unsent && retry_now);
     if (notice || charge_retry)
         step.updates.push_back({notice, charge_retry});
 
     if (outcome == attempt_outcome::success) {
         succeeded_ = true;
-        return deliver(attempt, std::move(step));
+        return deliver(attempt, now, std::move(step));
     }
     if (outcome == attempt_outcome::target_error)
         fallback_ = attempt;
-    if (retry_now && (charge_retry || unsent))
-        return send_retry(now, std::move(step));
     if (retry_now)
         return try_next(now, std::move(step));
     if (others_running)
         return step;
     if (fallback_)
-        return deliver(*fallback_, std::move(step));
-    return end(to_string(outcome), std::move(step));
-}
-
-// The retry is already charged to the budget; the credit is returned if nothing
-// can be sent.
-dispatch_step request_dispatch::send_retry(time_point now, dispatch_step step) {
-    auto out = try_next(now, std::move(step));
-    if (out.action == dispatch_action::send)
-        retry_attempt_ = out.attempt;
-    else
-        dependencies_.budget.on_unsent_retry(now);
-    return out;
+        return deliver(*fallback_, now, std::move(step));
+    return end(to_string(outcome), now, std::move(step));
 }
 
 std::optional<target_notice>
@@ -243,6 +268,8 @@
 // requests only a doubt about the target is recorded.
 dispatch_step request_dispatch::on_check(time_point now) {
     next_check_.reset();
+    if (!ended_ && std::exchange(waiting_, false))
+        return try_next(now, {});
     if (ended_ || checked_ || running() == 0)
         return {};
     checked_ = true;
@@ -262,14 +289,13 @@
         !dependencies_.may_retry(now))
         return {};
     auto const second = dependencies_.table.choose(next_choice(now), now);
-    if (!second || second->suspected)
+    if (!second || second->suspected || second->crowded)
         return {};
     dependencies_.budget.on_retry(now);
+    retry_charged_ = true;
     dispatch_step step;
     step.updates.push_back({std::nullopt, true});
-    step = send(*second, now, std::move(step));
-    retry_attempt_ = step.attempt;
-    return step;
+    return send(*second, now, std::move(step));
 }
 
 dispatch_step request_dispatch::on_deadline(time_point now) {
@@ -288,7 +314,7 @@
             step.updates.push_back({notice, false});
         add_activity(attempt.to.id, step);
     }
-    return end("deadline", std::move(step));
+    return end("deadline", now, std::move(step));
 }
 
 } // namespace yuccabeam::placement
--- a/src/yuccabeam/placement/target_table.cpp
+++ b/src/yuccabeam/placement/target_table.cpp
@@ -168,7 +168,10 @@
     if (wanted.exclude.empty())
         trials_.on_request(wanted.service);
     std::vector<ranked> best;
-    auto const all = candidates(wanted, now);
+    auto all = candidates(wanted, now);
+    if (wanted.avoid_crowded)
+        std::erase_if(
+            all, [&](candidate const& at) { return crowded(*at.entry, now); });
     auto const max_idle_failing = too_few_used(all, now)
                                       ? options_.max_idle_failing_urgent
                                       : options_.max_idle_failing;
@@ -199,6 +202,9 @@
                 (out.suspected || likely_failing({&entry, out.risk}));
     out.already_tried = chosen.tier == tier_already_tried;
     out.queued = in_flight(entry, now) >= entry.info.target.slots;
+    out.crowded = crowded(entry, now);
+    out.passed_crowded = out.suspected && !out.trial &&
+                         has_crowded_alternative(all, wanted, now);
     if (out.trial) {
         if (!wanted.retryable)
             trials_.on_trial(wanted.service);
@@ -209,6 +215,29 @@
     return out;
 }
 
+bool target_table::crowded(record const& entry, time_point now) const {
+    double const slots = entry.info.target.slots;
+    return in_flight(entry, now) >=
+           std::ceil(slots * (1 + options_.crowded_queue_share));
+}
+
+bool target_table::has_crowded_alternative(std::vector<candidate> const& all,
+                                           choice_request const& wanted,
+                                           time_point now) const {
+    return std::ranges::any_of(all, [&](candidate const& at) {
+        return !is_suspected(at.risk) && !at.entry->unreachable(now) &&
+               !at.entry->vanished_at &&
+               !contains(wanted.retryable_targets, at.entry->info.target.id) &&
+               crowded(*at.entry, now);
+    });
+}
+
+duration target_table::jittered(duration mean) {
+    return from_seconds(
+        to_seconds(mean) *
+        std::uniform_real_distribution<double>(0.5, 1.5)(random_));
+}
+
 other_targets target_table::others(choice_request const& wanted,
                                    time_point now) const {
     other_targets out;
