Bound the memory of all request and response bodies together

Each body was bounded, their sum wasn't. Attempts share a request's body, announced lengths hold no storage before their bytes, receive buffers are 128 KiB. Gauges and counters show the use.

--- a/include/yuccabeam/gateway/daemon_gauges.hpp
+++ b/include/yuccabeam/gateway/daemon_gauges.hpp
@@ -19,6 +19,7 @@
     http1::client const& targets;
     http1::server const& callers;
     peer_link const& peers;
+    http1::memory_budget const& memory;
 };
 
 void set_gauges(counters& out, gauge_sources const& from, time_point now);
--- a/include/yuccabeam/gateway/daemon_options.hpp
+++ b/include/yuccabeam/gateway/daemon_options.hpp
@@ -7,6 +7,8 @@
 #include "yuccabeam/placement/target_table.hpp"
 #include "yuccabeam/values/ids.hpp"
 
+#include <cstddef>
+
 namespace yuccabeam::gateway {
 
 /// An incarnation for a process that starts now: microseconds of the system
@@ -20,5 +22,8 @@
 placement::initial_credit initial_credit_of(settings const& settings);
 peer_link_options peer_link_options_of(settings const& settings);
 drain_options drain_options_of(settings const& settings);
+/// Memory for the message bodies of all exchanges together; the rest is for
+/// the daemon's own state, heads and the kernel's buffers.
+std::size_t body_bytes_of(settings const& settings);
 
 } // namespace yuccabeam::gateway
--- a/include/yuccabeam/gateway/settings.hpp
+++ b/include/yuccabeam/gateway/settings.hpp
@@ -27,6 +27,9 @@
     std::vector<std::string> failure_domains; ///< all of the deployment
     /// Cores that this VM may use. Larger VMs become relays first.
     double processor_share = 1;
+    /// Memory that this process may use, in MB (10^6 bytes). Message bodies
+    /// take up to half of it together.
+    double memory_mb = 256;
     /// Time from the stop signal to the end of the process.
     std::chrono::milliseconds grace{6'000};
     /// Time after which a leaving target must get no new requests.
--- a/include/yuccabeam/http1/client.hpp
+++ b/include/yuccabeam/http1/client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/http1/memory_budget.hpp"
 #include "yuccabeam/http1/parser.hpp"
 #include "yuccabeam/values/time.hpp"
 
@@ -19,6 +20,8 @@
     std::string target = "/";
     http_fields fields; ///< without Content-Length
     std::string body;
+    /// Sent instead of `body`, so that several requests share one.
+    std::shared_ptr<std::string const> shared_body;
     std::chrono::milliseconds connect_timeout{300};
     /// Time from the connection's establishment, or from the start on a pooled
     /// connection, to the end of the response.
@@ -41,7 +44,8 @@
     malformed,      ///< the peer sent an invalid HTTP response
     truncated,      ///< the connection ended within the response's body
     timed_out,
-    too_large, ///< the peer exceeded a size limit of `client_options`
+    too_large, ///< the peer exceeded a size limit of `client_options`, or the
+               ///< budget of all bodies has no room for its response
     cancelled
 };
 
@@ -55,6 +59,7 @@
     bool response_started = false; ///< at least one byte was received
     message_head head;
     std::string body;
+    memory_hold hold;             ///< of the body
     std::uint64_t bytes_read = 0; ///< heads and skipped responses included
     duration connect_time{};
     duration total_time{};
@@ -69,6 +74,8 @@
     /// heads, interim responses, responses to other requests, chunk sizes and
     /// extensions, trailers.
     std::size_t max_overhead_bytes = 1u << 20;
+    /// Budget that the bodies of all responses draw from, if any.
+    std::shared_ptr<memory_budget> memory;
     /// Idle connections kept per address.
     std::size_t max_idle_per_address = 2;
     /// Idle time after which a connection is closed, unless the peer announces
--- a/include/yuccabeam/http1/response_reader.hpp
+++ b/include/yuccabeam/http1/response_reader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/http1/memory_budget.hpp"
 #include "yuccabeam/http1/parser.hpp"
 
 #include <cstddef>
@@ -20,6 +21,8 @@
     std::size_t max_head_bytes = 64u << 10;
     /// Limit of all bytes read except the awaited response's body.
     std::size_t max_overhead_bytes = 1u << 20;
+    /// Budget for the body; without one only the limits above apply.
+    std::shared_ptr<memory_budget> memory;
 };
 
 enum class reading_state {
@@ -55,6 +58,10 @@
     /// The part of the awaited response that has been read.
     message_head head;
     std::string body;
+    memory_hold hold; ///< of the body
+
+    /// Ends the response and frees its body.
+    void discard();
 
 private:
     bool on_head(message_head& received);
--- a/include/yuccabeam/http1/server.hpp
+++ b/include/yuccabeam/http1/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/http1/memory_budget.hpp"
 #include "yuccabeam/http1/parser.hpp"
 #include "yuccabeam/values/fault.hpp"
 #include "yuccabeam/values/time.hpp"
@@ -21,6 +22,7 @@
     message_head head;
     std::string body;
     time_point first_byte{}; ///< arrival of the request's first byte
+    memory_hold hold{};      ///< of the body
 };
 
 struct outgoing_response {
@@ -30,6 +32,7 @@
     /// Closes the connection without sending a response, so that the caller
     /// can't take a status for the request's result.
     bool abort = false;
+    memory_hold hold{}; ///< of the body
 };
 
 /// Sends the response to one request.
@@ -49,6 +52,8 @@
     std::uint64_t requests = 0;
     std::uint64_t rejected_by_parser = 0;
     std::uint64_t head_timeouts = 0;
+    std::uint64_t rejected_without_memory = 0; ///< bodies of requests
+    std::uint64_t responses_evicted = 0; ///< while callers read them slowly
     std::uint64_t callers_gone = 0;
 };
 
@@ -57,14 +62,16 @@
 ///
 /// A connection serves one request at a time; pipelined requests wait until
 /// the response is sent. Requests with contradictory framing are rejected with
-/// 400 and not passed to the handler.
+/// 400 and not passed to the handler. If the budget of all bodies has no room
+/// for a request's body, it is rejected with 503; the caller of the largest
+/// response that is being sent may lose its connection.
 class server {
 public:
     using handler = std::function<void(incoming_request, responder_ptr)>;
     using limits_source = std::function<caller_limits()>;
 
     server(asio::any_io_executor executor, limits_source limits,
-           handler handler);
+           handler handler, std::shared_ptr<memory_budget> memory = nullptr);
     ~server();
     server(server const&) = delete;
     server& operator=(server const&) = delete;
--- a/src/yuccabeam/gateway/daemon_gauges.cpp
+++ b/src/yuccabeam/gateway/daemon_gauges.cpp
@@ -26,6 +26,11 @@
         {"target_connections",
          static_cast<double>(from.targets.connections_opened())},
         {"callers_connected", static_cast<double>(from.callers.connections())},
+        {"body_bytes_limit", static_cast<double>(from.memory.limit())},
+        {"body_bytes_held", static_cast<double>(from.memory.held())},
+        {"body_bytes_peak", static_cast<double>(from.memory.peak())},
+        {"bodies_evicted", static_cast<double>(from.memory.evictions())},
+        {"bodies_refused", static_cast<double>(from.memory.refusals())},
     };
     for (auto const& [name, value] : gauges)
         out.set(name, value);
--- a/src/yuccabeam/gateway/daemon_options.cpp
+++ b/src/yuccabeam/gateway/daemon_options.cpp
@@ -53,4 +53,10 @@
     return out;
 }
 
+std::size_t body_bytes_of(settings const& settings) {
+    constexpr double share = 0.5;
+    constexpr double bytes_per_mb = 1e6;
+    return static_cast<std::size_t>(settings.memory_mb * bytes_per_mb * share);
+}
+
 } // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -83,6 +83,8 @@
     exchange(exchange_dependencies const& dependencies, routed_request request)
         : dependencies_(dependencies), request_(std::move(request)),
           id_(request_id_of(request_.request, dependencies.headers)),
+          body_(std::make_shared<std::string const>(
+              std::move(request_.request.body))),
           service_(pick_service(request_.route, dependencies.random)),
           deadline_(deadline_of(request_, dependencies.headers)),
           dispatch_(dispatch_request(), dispatch_dependencies()),
@@ -172,7 +174,7 @@
         out.method = head.method;
         out.target = head.target;
         out.fields = fields_for(current.to);
-        out.body = request_.request.body;
+        out.shared_body = body_;
         out.connect_timeout = connect_timeout;
         out.timeout = time_left() + client_limit_margin;
         out.reuse = current.may_reuse && can_match_response(attempt);
@@ -401,6 +403,7 @@
     exchange_dependencies const& dependencies_;
     routed_request request_;
     std::string id_;
+    std::shared_ptr<std::string const> body_; ///< shared by all attempts
     service_id service_;
     time_point deadline_;
     placement::request_dispatch dispatch_;
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -26,7 +26,9 @@
     : context(context), settings(std::move(given_settings)),
       formats(std::move(given_formats)), log({settings.vm}),
       random(std::hash<std::string>{}(settings.vm) ^ new_incarnation()),
-      targets(context.get_executor()), control_client(context.get_executor()),
+      memory(std::make_shared<http1::memory_budget>(body_bytes_of(settings))),
+      targets(context.get_executor(), {.memory = memory}),
+      control_client(context.get_executor(), {.memory = memory}),
       target_table(settings.failure_domain, random(),
                    target_table_options_of(settings)),
       target_list(formats.content.target_prefix, formats.content.target),
@@ -98,10 +100,10 @@
 
 control_dependencies implementation::make_control_dependencies() {
     return {[this] {
-                set_gauges(
-                    counters,
-                    {target_table, *store, log, targets, *callers, peers},
-                    boot_now());
+                set_gauges(counters,
+                           {target_table, *store, log, targets, *callers, peers,
+                            *memory},
+                           boot_now());
                 usage.set_gauges(target_table, counters, boot_now());
             },
             counters, [this] { return state(boot_now()); },
@@ -144,14 +146,16 @@
             if (!accepts_requests(boot_now()))
                 router.close();
             router.serve(std::move(request), std::move(caller));
-        });
+        },
+        memory);
     auto const defaults = [] { return http1::caller_limits{}; };
     readiness = std::make_unique<http1::server>(
         executor, defaults,
         [this](http1::incoming_request const& request,
                http1::responder_ptr const& caller) {
             answer_readiness(request, caller);
-        });
+        },
+        memory);
     control = std::make_unique<http1::server>(
         executor, defaults,
         [answers =
@@ -159,7 +163,8 @@
             http1::incoming_request const& request,
             http1::responder_ptr const& caller) {
             caller->send(answers->answer(request));
-        });
+        },
+        memory);
     if (auto done = callers->listen(settings.callers); !done)
         return done;
     if (auto done = readiness->listen(settings.readiness); !done)
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -85,6 +85,7 @@
     yuccabeam::gateway::counters counters;
     std::mt19937_64 random;
 
+    std::shared_ptr<http1::memory_budget> memory; ///< of message bodies
     http1::client targets;
     http1::client control_client;
     placement::target_table target_table;
--- a/src/yuccabeam/gateway/responses.cpp
+++ b/src/yuccabeam/gateway/responses.cpp
@@ -76,6 +76,7 @@
     out.status = result.head.status;
     out.fields = http1::end_to_end_fields(result.head.fields);
     out.body = std::move(result.body);
+    out.hold = std::move(result.hold);
     return out;
 }
 
--- a/src/yuccabeam/gateway/settings.cpp
+++ b/src/yuccabeam/gateway/settings.cpp
@@ -11,6 +11,8 @@
 constexpr double max_seconds = 24 * 3600;
 constexpr double max_slack = 1e6;
 constexpr double max_processors = 1'024;
+constexpr double least_memory_mb = 16;
+constexpr double max_memory_mb = 1e6;
 
 std::chrono::milliseconds seconds_or(json_reader& reader, std::string_view name,
                                      std::chrono::milliseconds fallback) {
@@ -32,6 +34,8 @@
     out.failure_domains = reader.strings_or("failure_domains");
     out.processor_share = reader.number_or(
         "processor_share", out.processor_share, 0, max_processors);
+    out.memory_mb = reader.number_or("memory_mb", out.memory_mb,
+                                     least_memory_mb, max_memory_mb);
     out.grace = seconds_or(reader, "grace_s", out.grace);
     out.leaving_limit =
         seconds_or(reader, "leaving_limit_s", out.leaving_limit);
--- a/src/yuccabeam/gateway/settings_test.cpp
+++ b/src/yuccabeam/gateway/settings_test.cpp
@@ -58,6 +58,7 @@
         {"two faults",
          {{"store", 7}, {"repeat_slack", "many"}},
          {"/store", "/repeat_slack"}},
+        {"no memory", {{"memory_mb", 0}}, {"/memory_mb"}},
         {"a flag that is a number", {{"new_fleet", 1}}, {"/new_fleet"}},
     };
     for (auto const& row : rows) {
--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -26,6 +26,9 @@
 // The kernel closes a connection whose sent data isn't acknowledged within
 // this time, so that a broken path is detected on idle connections too.
 constexpr int tcp_user_timeout_ms = 10'000;
+// Unread bytes count as memory of the process. The kernel's own limit of some
+// megabytes for each connection is far above what a region's latency needs.
+constexpr int receive_buffer_bytes = 128 << 10;
 
 std::optional<tcp::endpoint> endpoint_of(std::string const& address) {
     auto const read = parse_ip_address(address);
@@ -188,10 +191,12 @@
             if (auto socket = pool_->take(request_.address)) {
                 socket_ = std::move(*socket);
                 result_.reused = true;
+                watch_memory();
                 start_timeout(request_.timeout);
                 write();
                 return;
             }
+        watch_memory();
         connect();
     }
 
@@ -204,9 +209,26 @@
 private:
     response_reader_options reader_options() const {
         auto const& limits = pool_->options;
-        return {request_.method == "HEAD", request_.match_field,
-                request_.match_value,      limits.max_response_bytes,
-                limits.max_head_bytes,     limits.max_overhead_bytes};
+        return {request_.method == "HEAD",
+                request_.match_field,
+                request_.match_value,
+                limits.max_response_bytes,
+                limits.max_head_bytes,
+                limits.max_overhead_bytes,
+                limits.memory};
+    }
+
+    // The result is reported later, as another body is growing meanwhile.
+    void watch_memory() {
+        reader_.hold.on_evict([weak = weak_from_this()] {
+            auto const self = weak.lock();
+            if (!self || self->ended_)
+                return;
+            self->reader_.discard();
+            self->close();
+            asio::post(self->pool_->executor,
+                       [self] { self->finish(client_status::too_large); });
+        });
     }
 
     void connect() {
@@ -222,6 +244,9 @@
             return;
         }
         socket_.set_option(tcp::no_delay(true), error);
+        socket_.set_option(
+            asio::socket_base::receive_buffer_size(receive_buffer_bytes),
+            error);
         setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                    &tcp_user_timeout_ms, sizeof tcp_user_timeout_ms);
         ++pool_->opened;
@@ -254,14 +279,16 @@
         result_.request_begun = true;
         head_text_.append(request_.method).append(" ").append(request_.target);
         head_text_.append(" HTTP/1.1\r\n");
-        if (!request_.body.empty() || request_.method == "POST" ||
+        auto const& body =
+            request_.shared_body ? *request_.shared_body : request_.body;
+        if (!body.empty() || request_.method == "POST" ||
             request_.method == "PUT" || request_.method == "PATCH")
             head_text_.append("Content-Length: ")
-                .append(std::to_string(request_.body.size()))
+                .append(std::to_string(body.size()))
                 .append("\r\n");
         append_fields(head_text_, request_.fields);
         std::array<asio::const_buffer, 2> const parts = {
-            asio::buffer(head_text_), asio::buffer(request_.body)};
+            asio::buffer(head_text_), asio::buffer(body)};
         // A write error needs no handling here, because reading fails as well.
         // A response may arrive before the body is completely sent.
         asio::async_write(
@@ -281,7 +308,7 @@
     }
 
     void on_read(std::error_code error, std::size_t size) {
-        if (ended_)
+        if (ended_ || reader_.state() != reading_state::incomplete)
             return;
         if (error) {
             on_read_error(error);
@@ -346,6 +373,8 @@
         result_.total_time = boot_now() - started_;
         result_.head = std::move(reader_.head);
         result_.body = std::move(reader_.body);
+        reader_.hold.on_evict(nullptr);
+        result_.hold = std::move(reader_.hold);
         if (connection_reusable())
             return_to_pool();
         close();
--- a/src/yuccabeam/http1/client_test.cpp
+++ b/src/yuccabeam/http1/client_test.cpp
@@ -19,9 +19,10 @@
     request.match_field = "Id";
     request.match_value = std::move(id);
     request.connect_timeout = request.timeout = std::chrono::seconds(30);
-    client.start(request, [&](client_result result) { out = result; });
+    client.start(request,
+                 [&](client_result result) { out = std::move(result); });
     REQUIRE(run_until(context, [&] { return out.has_value(); }));
-    return *out;
+    return std::move(*out);
 }
 
 std::string const good =
@@ -189,7 +190,7 @@
         request.timeout =
             times_out ? std::chrono::milliseconds(0) : std::chrono::seconds(30);
         auto const call = client.start(
-            request, [&](client_result result) { first = result; });
+            request, [&](client_result result) { first = std::move(result); });
         peer.await_connection();
         REQUIRE(run_until(context, [&] {
             return !peer.requests().empty() && (!times_out || first);
@@ -198,7 +199,8 @@
         peer.send(late);
         std::optional<client_result> second;
         request.timeout = std::chrono::seconds(30);
-        client.start(request, [&](client_result result) { second = result; });
+        client.start(request,
+                     [&](client_result result) { second = std::move(result); });
         REQUIRE(run_until(context, [&] { return second.has_value(); }));
         CHECK(second->body == "ok");
         CHECK_FALSE(second->reused);
@@ -260,7 +262,8 @@
     std::optional<client_result> out;
     client_request request;
     request.address = address;
-    client.start(request, [&](client_result result) { out = result; });
+    client.start(request,
+                 [&](client_result result) { out = std::move(result); });
     REQUIRE(run_until(context, [&] { return out.has_value(); }));
     CHECK(out->status == client_status::connect_failed);
 }
@@ -302,7 +305,8 @@
         client_request request;
         request.address = address;
         std::optional<client_result> out;
-        client.start(request, [&](client_result result) { out = result; });
+        client.start(request,
+                     [&](client_result result) { out = std::move(result); });
         // The handler never runs within `start`.
         CHECK_FALSE(out);
         REQUIRE(run_until(context, [&] { return out.has_value(); }));
--- a/src/yuccabeam/http1/client_timer_test.cpp
+++ b/src/yuccabeam/http1/client_timer_test.cpp
@@ -28,7 +28,8 @@
     auto request = post_to(peer);
     request.timeout = std::chrono::seconds(30);
     request.connect_timeout = std::chrono::milliseconds(0);
-    client.start(request, [&](client_result result) { out = result; });
+    client.start(request,
+                 [&](client_result result) { out = std::move(result); });
     peer.await_connection();
     REQUIRE(
         run_until(context, [&] { return out && !peer.requests().empty(); }));
@@ -43,7 +44,8 @@
     std::optional<client_result> out;
     auto request = post_to(peer);
     request.timeout = std::chrono::milliseconds(0);
-    client.start(request, [&](client_result result) { out = result; });
+    client.start(request,
+                 [&](client_result result) { out = std::move(result); });
     peer.await_connection();
     REQUIRE(run_until(context, [&] { return out.has_value(); }));
     CHECK(out->request_begun);
--- a/src/yuccabeam/http1/response_reader.cpp
+++ b/src/yuccabeam/http1/response_reader.cpp
@@ -5,7 +5,7 @@
 namespace yuccabeam::http1 {
 
 response_reader::response_reader(response_reader_options options)
-    : options_(std::move(options)),
+    : hold(options.memory), options_(std::move(options)),
       parser_(message_kind::response,
               {[this](message_head& received) { return on_head(received); },
                [this](std::string_view part) { on_body(part); }}) {}
@@ -73,9 +73,16 @@
         body_too_large_ = true;
         return;
     }
-    if (body.empty() && head.framing == body_framing::length)
-        body.reserve(head.content_length);
-    body += part;
+    auto const expected = head.framing == body_framing::length
+                              ? static_cast<std::size_t>(head.content_length)
+                              : 0;
+    body_too_large_ = !append_held(body, part, expected, hold);
+}
+
+void response_reader::discard() {
+    state_ = reading_state::too_large;
+    body = std::string();
+    hold.resize(0);
 }
 
 bool response_reader::beyond_limits() const {
--- a/src/yuccabeam/http1/server.cpp
+++ b/src/yuccabeam/http1/server.cpp
@@ -27,6 +27,9 @@
 // Delay after a failed accept, for example without a free file descriptor.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
+// As for responses, unread bytes count as memory of the process.
+constexpr int receive_buffer_bytes = 128 << 10;
+
 class connection;
 using connection_ptr = std::shared_ptr<connection>;
 
@@ -37,6 +40,7 @@
     asio::any_io_executor executor;
     server::limits_source limits;
     server::handler handler;
+    std::shared_ptr<memory_budget> memory;
     tcp::acceptor acceptor;
     net::one_shot_timer accept_timer;
     std::unordered_set<connection_ptr> open;
@@ -45,10 +49,11 @@
     server_counters counters;
 
     implementation(asio::any_io_executor executor, limits_source limits,
-                   server::handler handler)
+                   server::handler handler,
+                   std::shared_ptr<memory_budget> memory)
         : executor(executor), limits(std::move(limits)),
-          handler(std::move(handler)), acceptor(executor),
-          accept_timer(executor) {}
+          handler(std::move(handler)), memory(std::move(memory)),
+          acceptor(executor), accept_timer(executor) {}
 
     void accept();
     void retry_accept();
@@ -58,6 +63,9 @@
 
 namespace {
 
+// For a request whose body has no room now.
+http_field const retry_soon{"Retry-After", "1"};
+
 class connection : public std::enable_shared_from_this<connection> {
 public:
     connection(std::shared_ptr<server::implementation> server,
@@ -206,9 +214,30 @@
             send_continue();
         // The head is complete; restarts the timeout for the body.
         arm(limits.head_timeout);
+        hold_request_body();
         return false;
     }
 
+    void hold_request_body() {
+        request_.hold = memory_hold(server_->memory);
+        request_.hold.on_evict([weak = weak_from_this()] {
+            if (auto const self = weak.lock())
+                self->drop_request_body();
+        });
+    }
+
+    // The response is sent later, as another body is growing meanwhile.
+    void drop_request_body() {
+        rejection_status_ = 503;
+        ++server_->counters.rejected_without_memory;
+        request_.body = std::string();
+        request_.hold.resize(0);
+        asio::post(server_->executor, [self = shared_from_this()] {
+            if (self->state_ == state::reading)
+                self->reject(self->rejection_status_);
+        });
+    }
+
     void on_body(std::string_view part) {
         if (rejection_status_ != 0)
             return;
@@ -217,7 +246,16 @@
             rejection_status_ = 413;
             return;
         }
-        request_.body += part;
+        auto const& head = request_.head;
+        auto const expected =
+            head.framing == body_framing::length
+                ? static_cast<std::size_t>(head.content_length)
+                : 0;
+        if (!append_held(request_.body, part, expected, request_.hold)) {
+            ++server_->counters.rejected_without_memory;
+            rejection_status_ = 503;
+            return;
+        }
         arm(server_->limits().head_timeout);
     }
 
@@ -230,7 +268,13 @@
 
     void reject(int status) {
         begin_response();
-        send({status, {}, "", false}, false);
+        request_.body = std::string();
+        request_.hold = {};
+        outgoing_response response;
+        response.status = status;
+        if (status == 503)
+            response.fields.push_back(retry_soon);
+        send(std::move(response), false);
     }
 
     void begin_response() {
@@ -260,6 +304,11 @@
         out_.append(keep ? "" : "Connection: close\r\n");
         append_fields(out_, response.fields);
         body_ = head_only ? std::string() : std::move(response.body);
+        body_hold_ = std::move(response.hold);
+        body_hold_.on_evict([weak = weak_from_this()] {
+            if (auto const self = weak.lock())
+                self->drop_response();
+        });
         std::array<asio::const_buffer, 2> const parts = {asio::buffer(out_),
                                                          asio::buffer(body_)};
         asio::async_write(socket_, parts,
@@ -269,11 +318,23 @@
                           });
     }
 
+    // Ends a response that its caller reads too slowly.
+    void drop_response() {
+        ++server_->counters.responses_evicted;
+        body_hold_.resize(0);
+        asio::post(server_->executor, [self = shared_from_this()] {
+            if (self->state_ == state::responding)
+                self->end_request();
+            self->close();
+        });
+    }
+
     void on_sent(std::error_code error, bool keep) {
         if (state_ != state::responding)
             return;
         sending_ = false;
         end_request();
+        body_hold_ = {};
         if (error) {
             close();
             return;
@@ -331,6 +392,7 @@
     std::string input_;
     std::string out_;
     std::string body_;
+    memory_hold body_hold_;
     std::array<char, read_size> buffer_{};
 };
 
@@ -360,6 +422,8 @@
     incoming_request request;
     request.head = request_.head;
     request.body = std::move(request_.body);
+    request_.hold.on_evict(nullptr);
+    request.hold = std::move(request_.hold);
     request.first_byte = first_byte_;
     server_->handler(std::move(request), std::make_shared<connection_responder>(
                                              shared_from_this(), serial_));
@@ -411,9 +475,10 @@
 }
 
 server::server(asio::any_io_executor executor, limits_source limits,
-               handler handler)
+               handler handler, std::shared_ptr<memory_budget> memory)
     : self_(std::make_shared<implementation>(
-          std::move(executor), std::move(limits), std::move(handler))) {}
+          std::move(executor), std::move(limits), std::move(handler),
+          std::move(memory))) {}
 
 server::~server() {
     stop_accepting();
@@ -432,6 +497,10 @@
     acceptor.open(endpoint.protocol(), error);
     if (!error)
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size(receive_buffer_bytes),
+            error);
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
--- a/src/yuccabeam/http1/server_test.cpp
+++ b/src/yuccabeam/http1/server_test.cpp
@@ -18,14 +18,15 @@
     std::vector<incoming_request> seen;
     std::vector<responder_ptr> held;
     bool hold = false;
-    server under_test{context.get_executor(), [this] { return limits; },
-                      [this](incoming_request request, responder_ptr caller) {
-                          seen.push_back(request);
-                          if (hold)
-                              held.push_back(caller);
-                          else
-                              caller->send({200, {}, "got " + request.body});
-                      }};
+    server under_test{
+        context.get_executor(), [this] { return limits; },
+        [this](incoming_request request, responder_ptr caller) {
+            seen.push_back(std::move(request));
+            if (hold)
+                held.push_back(caller);
+            else
+                caller->send({200, {}, "got " + seen.back().body});
+        }};
 
     fixture() { REQUIRE(under_test.listen("127.0.0.1:0")); }
 
--- a/src/yuccabeam/http1/truncated_response_test.cpp
+++ b/src/yuccabeam/http1/truncated_response_test.cpp
@@ -22,9 +22,10 @@
     request.match_field = "Id";
     request.match_value = "r1";
     request.connect_timeout = request.timeout = std::chrono::seconds(30);
-    client.start(request, [&](client_result result) { out = result; });
+    client.start(request,
+                 [&](client_result result) { out = std::move(result); });
     REQUIRE(run_until(context, [&] { return out.has_value(); }));
-    return *out;
+    return std::move(*out);
 }
 
 // Feeds the text to the parser in pieces of a size, then the end of input.
