Send nothing to a target that says that it leaves or wants a rest

Change: both are one value of a target's state that every choice of a target applies, read from complete responses of the request's own target (decision 0017). Leaving is told to the other daemons; a rest holds on this daemon and ends at random times. If all targets rest, callers get the least of their ends as Retry-After. Open parts stand in the decision.

--- a/include/yuccabeam/gateway/formats.hpp
+++ b/include/yuccabeam/gateway/formats.hpp
@@ -22,6 +22,8 @@
     std::string expected_target; ///< id of the only target that may execute it
     std::string not_run;         ///< the target did not execute the request
     std::string response_signature; ///< the target's signature of its response
+    /// The target says with the value 1 that it leaves. Not read if empty.
+    std::string leaving{};
 };
 
 /// Result of one call to the store, derived from its transport and HTTP status.
--- a/include/yuccabeam/gateway/responses.hpp
+++ b/include/yuccabeam/gateway/responses.hpp
@@ -33,6 +33,21 @@
 http1::outgoing_response gateway_response(int status,
                                           std::string const& request_id,
                                           std::string_view reason);
+/// What a target says about itself in a response to a request.
+struct target_word {
+    bool leaving = false;
+    /// It wants no requests for this time.
+    std::optional<duration> rest;
+    bool invalid_rest = false; ///< its Retry-After can't be read
+
+    bool operator==(target_word const&) const = default;
+};
+
+/// Reads it from a complete response of the request's own target; empty for
+/// any other result.
+target_word word_of(http1::client_result const& result,
+                    header_names const& headers);
+
 /// A generated response with status 503 and Retry-After: the request was not
 /// run and will not be.
 http1::outgoing_response
--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/placement/availability.hpp"
 #include "yuccabeam/placement/expected_value.hpp"
 #include "yuccabeam/placement/failure_estimate.hpp"
 #include "yuccabeam/placement/outcome.hpp"
@@ -25,6 +26,7 @@
 struct target_table_options {
     failure_estimate_options estimate;
     expected_value_options value;
+    availability_options availability;
     /// Time from the last failure to a trial (half-open probe) with a retryable
     /// request. A target that is suspected only after doubts is tried at
     /// once.
@@ -108,7 +110,8 @@
     doubted,  ///< an error response, an overdue response or the reset of a
               ///< reused connection
     replaced, ///< another target has its address
-    last = replaced
+    leaving,  ///< the target has said that it leaves
+    last = leaving
 };
 
 std::string_view to_string(notice_kind value);
@@ -189,6 +192,7 @@
     duration suspected_for{}; ///< time since it became suspected
     bool vanished = false;    ///< its entry is gone
     bool replaced = false;    ///< another target has its address
+    bool resting = false;     ///< has asked for a rest
     bool full = false;        ///< ranks behind others as it was full
     bool own_domain = false;  ///< in the failure domain of this daemon
     /// Time since a request was last sent to the target, as far as this daemon
@@ -274,6 +278,17 @@
     /// capacity.
     std::optional<target_notice> on_overdue(target_id const& id,
                                             time_point now);
+    /// Records that the target itself has said that it leaves, in the response
+    /// to an attempt that began at `started`. Returns the notice for the peers
+    /// the first time.
+    std::optional<target_notice> on_leaving(target_id const& id,
+                                            time_point started, time_point now);
+    /// Records that the target wants no requests of this daemon for `rest`.
+    void on_rest(target_id const& id, duration rest, time_point started,
+                 time_point now);
+    /// The first end of a rest, if all usable targets of a service rest.
+    std::optional<time_point> rest_end(service_id const& service,
+                                       time_point now) const;
     /// Records a cancelled attempt, which is no evidence about the target.
     void on_cancel(target_id const& id);
 
@@ -354,6 +369,8 @@
         duration unreachable_hold{};
         time_point full_until{};
         time_point warm_at{};
+        placement::availability availability;
+        time_point listed_since{}; ///< of this incarnation
         time_point last_request{}; ///< sent by any daemon, as far as known
         std::optional<time_point> vanished_at;
         bool address_reused = false;
@@ -424,11 +441,15 @@
     void apply_doubt(record& entry, time_point now);
     void apply_success(record& entry, time_point now);
     void apply_failure(record& entry, time_point now);
+    bool mark_leaving(record& entry, time_point now);
 
     failure_domain_id own_domain_;
     target_table_options options_;
     std::mt19937_64 random_;
     std::map<target_id, record> records_;
+    /// Incarnations that have said that they leave: an entry that lapses and
+    /// returns is still leaving.
+    std::map<target_id, std::pair<std::int64_t, time_point>> leaving_;
     std::unordered_map<std::uint64_t, record*> by_key_;
     std::map<service_id, std::vector<record*>> by_service_;
     bool any_vanished_ = false;
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -238,6 +238,7 @@
         auto const now = boot_now();
         auto const outcome = classify_result(result, dependencies_.headers,
                                              dispatch_.was_late(attempt, now));
+        record_word(attempt, result, now);
         auto const step =
             dispatch_.on_attempt_end(attempt, outcome, now, result.body.size());
         count_attempt(attempt, outcome);
@@ -249,6 +250,46 @@
         execute(step);
     }
 
+    // Before the attempt's end is handled, so that no retry goes there.
+    void record_word(std::size_t attempt, client_result const& result,
+                     time_point now) {
+        auto const word = word_of(result, dependencies_.headers);
+        auto const& done = dispatch_.attempts()[attempt];
+        auto& table = dependencies_.target_table;
+        if (word.leaving)
+            if (auto const notice =
+                    table.on_leaving(done.to.id, done.started, now)) {
+                dependencies_.publish_notice(notice, service_, false);
+                dependencies_.log.write("target_leaves",
+                                        {{"target", done.to.id.value},
+                                         {"service", service_.value},
+                                         {"id", id_}});
+            }
+        if (word.rest) {
+            table.on_rest(done.to.id, *word.rest, done.started, now);
+            dependencies_.counters.count("target_rests");
+            dependencies_.log.write(
+                "target_rests",
+                {{"target", done.to.id.value},
+                 {"service", service_.value},
+                 {"id", id_},
+                 {"rest_ms", std::to_string(to_milliseconds(*word.rest))}});
+        }
+        if (word.invalid_rest)
+            dependencies_.counters.count("invalid_retry_after");
+    }
+
+    // The least time after which a caller may come back.
+    std::chrono::milliseconds retry_after() const {
+        auto const now = boot_now();
+        auto const end = dependencies_.target_table.rest_end(service_, now);
+        if (!end)
+            return retry_after_refusal;
+        return std::max(
+            retry_after_refusal,
+            std::chrono::duration_cast<std::chrono::milliseconds>(*end - now));
+    }
+
     // --- ending -------------------------------------------------------------
 
     void deliver(std::size_t attempt) {
@@ -270,7 +311,7 @@
         auto const outcome = ran ? "unknown" : "not_run";
         log_end(outcome, reason);
         if (!ran)
-            finish(not_run_response(id_, reason, retry_after_refusal), outcome);
+            finish(not_run_response(id_, reason, retry_after()), outcome);
         else
             finish(
                 gateway_response(reason == "deadline" ? 504 : 502, id_, reason),
--- a/src/yuccabeam/gateway/exchange_fixture.hpp
+++ b/src/yuccabeam/gateway/exchange_fixture.hpp
@@ -27,7 +27,8 @@
 /// The dependencies of exchanges, for tests; counts what they publish.
 struct exchange_environment {
     asio::io_context context;
-    header_names names{"Id", "Left-Ms", "Expected", "Not-Run", "Proof"};
+    header_names names{"Id",      "Left-Ms", "Expected",
+                       "Not-Run", "Proof",   "Leaving"};
     telemetry::event_log log{{"vm", -1}};
     gateway::counters counters;
     std::mt19937_64 random{1};
--- a/src/yuccabeam/gateway/exchange_test.cpp
+++ b/src/yuccabeam/gateway/exchange_test.cpp
@@ -379,3 +379,35 @@
     CHECK(f.caller->sent->status == 502);
     CHECK(f.arrivals() == 2);
 }
+
+// Guards against a target's word that doesn't reach the choice of targets, or
+// reaches it only after the retry.
+TEST_CASE("an exchange takes note of what a target asks for") {
+    struct row {
+        char const* what;
+        std::string reply; ///< of both targets
+        int status;
+        std::size_t arrivals; ///< of two requests
+    };
+    auto const rest =
+        answer("503 Busy", "Not-Run: 1\r\nRetry-After: 60\r\n", "");
+    std::vector<row> const rows = {
+        {"it leaves", answer("200 OK", "Proof: p\r\nLeaving: 1\r\n", "ok"), 200,
+         2},
+        {"it rests", rest, 503, 2},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.what);
+        fixture f({{row.reply}, {row.reply}});
+        f.run(false);
+        CHECK(f.caller->sent->status == row.status);
+        f.run(false);
+        CHECK(f.arrivals() == row.arrivals);
+        std::size_t words = 0;
+        for (auto const& at : f.target_table.snapshots(adapters::boot_now())) {
+            words += at.leaving || at.resting;
+            CHECK_FALSE(at.suspected);
+        }
+        CHECK(words == 2);
+    }
+}
--- a/src/yuccabeam/gateway/responses.cpp
+++ b/src/yuccabeam/gateway/responses.cpp
@@ -1,5 +1,6 @@
 #include "yuccabeam/gateway/responses.hpp"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace yuccabeam::gateway {
@@ -66,6 +67,36 @@
     }
 }
 
+// Seconds with an optional fraction. A date would need a clock in common with
+// the target.
+std::optional<duration> parse_rest(std::string_view text) {
+    double seconds = 0;
+    auto const* end = text.data() + text.size();
+    auto const [rest, error] =
+        std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+    constexpr double longest_s = 1e6;
+    if (text.empty() || error != std::errc() || rest != end ||
+        !(seconds >= 0 && seconds <= longest_s))
+        return std::nullopt;
+    return from_seconds(seconds);
+}
+
+target_word word_of(http1::client_result const& result,
+                    header_names const& headers) {
+    target_word out;
+    // 421: another target answered at the address.
+    if (result.status != client_status::complete || result.head.status == 421)
+        return out;
+    out.leaving = !headers.leaving.empty() &&
+                  field_value(result.head.fields, headers.leaving) == "1";
+    auto const rest = field_value(result.head.fields, "Retry-After");
+    if (result.head.status != 503 || rest.empty())
+        return out;
+    out.rest = parse_rest(rest);
+    out.invalid_rest = !out.rest;
+    return out;
+}
+
 bool is_unmarked_refusal(http1::message_head const& head,
                          header_names const& headers) {
     return is_not_run_status(head.status) && !has(head, headers.not_run);
--- a/src/yuccabeam/gateway/responses_test.cpp
+++ b/src/yuccabeam/gateway/responses_test.cpp
@@ -7,6 +7,7 @@
 using namespace yuccabeam::gateway;
 using yuccabeam::http1::client_result;
 using yuccabeam::http1::client_status;
+using yuccabeam::http1::http_fields;
 using yuccabeam::placement::attempt_outcome;
 using yuccabeam::placement::may_have_run;
 
@@ -137,3 +138,66 @@
         CHECK(may_have_run(outcome) == c.ran);
     }
 }
+
+// Guards against a word that is taken from another target's response, and
+// against a Retry-After that can't be read.
+TEST_CASE("a target's word is read from its complete responses") {
+    struct row {
+        char const* what;
+        client_status transport;
+        int status;
+        http_fields fields;
+        target_word word;
+    };
+    auto const complete = client_status::complete;
+    using std::chrono::milliseconds;
+    std::vector<row> const rows = {
+        {"none", complete, 200, {}, {}},
+        {"it leaves", complete, 200, {{"Leaving", "1"}}, {true, {}, false}},
+        {"an error counts too",
+         complete,
+         500,
+         {{"leaving", "1"}},
+         {true, {}, false}},
+        {"another value", complete, 200, {{"Leaving", "0"}}, {}},
+        {"another target", complete, 421, {{"Leaving", "1"}}, {}},
+        {"truncated", client_status::truncated, 200, {{"Leaving", "1"}}, {}},
+        {"a rest",
+         complete,
+         503,
+         {{"Retry-After", "2"}},
+         {false, milliseconds(2'000), false}},
+        {"a fraction",
+         complete,
+         503,
+         {{"Retry-After", "0.25"}},
+         {false, milliseconds(250), false}},
+        {"another status", complete, 429, {{"Retry-After", "2"}}, {}},
+        {"negative", complete, 503, {{"Retry-After", "-1"}}, {false, {}, true}},
+        {"a date",
+         complete,
+         503,
+         {{"Retry-After", "Sat, 05 Dec 2026 17:00:00 GMT"}},
+         {false, {}, true}},
+        {"absurd",
+         complete,
+         503,
+         {{"Retry-After", "1e300"}},
+         {false, {}, true}},
+        {"not a number",
+         complete,
+         503,
+         {{"Retry-After", "nan"}},
+         {false, {}, true}},
+    };
+    header_names names_with_leaving = names;
+    names_with_leaving.leaving = "Leaving";
+    for (auto const& row : rows) {
+        CAPTURE(row.what);
+        client_result result;
+        result.status = row.transport;
+        result.head.status = row.status;
+        result.head.fields = row.fields;
+        CHECK(word_of(result, names_with_leaving) == row.word);
+    }
+}
--- a/src/yuccabeam/gateway/target_description.cpp
+++ b/src/yuccabeam/gateway/target_description.cpp
@@ -45,6 +45,8 @@
         return "a request succeeded";
     case notice_kind::replaced:
         return "another target answered at its address";
+    case notice_kind::leaving:
+        return "it said that it leaves";
     case notice_kind::trial:
         break;
     }
--- a/src/yuccabeam/http1/many_endless_responses_test.cpp
+++ b/src/yuccabeam/http1/many_endless_responses_test.cpp
@@ -87,9 +87,9 @@
 // Guards against a process that runs out of memory, with the requests of all
 // its callers, because many targets send without end at once.
 TEST_CASE("many endless responses at once leave memory for sound ones") {
-    for (auto const& [name, kind] : standins::endless_words) {
-        CAPTURE(name);
-        auto const result = play(kind);
+    for (auto const& word : standins::endless_words) {
+        CAPTURE(word.first);
+        auto const result = play(word.second);
         CHECK(result.endless_ended == endless_calls);
         CHECK(result.sound_served == sound_calls);
         CHECK(result.heap <= process_bytes);
--- a/src/yuccabeam/placement/target_listing.cpp
+++ b/src/yuccabeam/placement/target_listing.cpp
@@ -92,6 +92,12 @@
         entry.key = load_key(info.target.id, info.started_ms);
         entry.estimate = prior_estimate(options_.estimate, now);
         entry.last_request = now;
+        entry.listed_since = now;
+        auto const left = leaving_.find(info.target.id);
+        if (left != leaving_.end() && left->second.first == info.started_ms)
+            entry.availability.leaving_since = left->second.second;
+        else if (left != leaving_.end())
+            leaving_.erase(left);
     }
     bool const was_leaving = entry.info.leaving;
     bool const returned = entry.vanished_at.has_value();
--- a/src/yuccabeam/placement/target_table.cpp
+++ b/src/yuccabeam/placement/target_table.cpp
@@ -39,6 +39,8 @@
         return "doubted";
     case notice_kind::replaced:
         return "replaced";
+    case notice_kind::leaving:
+        return "leaving";
     }
     return "unknown";
 }
@@ -106,6 +108,7 @@
     std::vector<candidate> out;
     for (auto* entry : targets_of(wanted.service)) {
         if (!entry->usable() ||
+            !may_be_asked(entry->availability, options_.availability, now) ||
             (entry->vanished_at && now >= entry->usable_until))
             continue;
         auto const& id = entry->info.target.id;
@@ -146,9 +149,11 @@
         return tier_unreachable;
     if (contains(wanted.retryable_targets, entry.info.target.id))
         return tier_already_tried;
-    if (wanted.exclude.empty() && trial_due(at, wanted, max_idle_failing, now))
+    if (wanted.exclude.empty() && !entry.availability.leaving_since &&
+        trial_due(at, wanted, max_idle_failing, now))
         return sample_trial(wanted.service) ? tier_trial : tier_normal;
-    if (entry.vanished_at && entry.removal_confirmed)
+    if ((entry.vanished_at && entry.removal_confirmed) ||
+        entry.availability.leaving_since)
         return tier_vanished;
     return now < entry.full_until ? tier_full : tier_normal;
 }
@@ -305,7 +310,8 @@
     double slots = 0;
     for (auto const* entry : targets_of(service))
         if (entry->usable() && !entry->vanished_at && !suspected(*entry, now) &&
-            !entry->unreachable(now))
+            !entry->unreachable(now) &&
+            may_be_asked(entry->availability, options_.availability, now))
             slots += entry->info.target.slots;
     return loads_.busy_slots(service) < options_.room_utilisation * slots;
 }
@@ -392,9 +398,61 @@
     case notice_kind::replaced:
         entry->address_reused = true;
         break;
+    case notice_kind::leaving:
+        mark_leaving(*entry, now);
+        break;
     }
 }
 
+bool target_table::mark_leaving(record& entry, time_point now) {
+    if (entry.availability.leaving_since)
+        return false;
+    entry.availability.leaving_since = now;
+    constexpr duration remembered = std::chrono::hours(1);
+    std::erase_if(leaving_, [&](auto const& item) {
+        return now - item.second.second > remembered;
+    });
+    leaving_[entry.info.target.id] = {entry.info.started_ms, now};
+    return true;
+}
+
+std::optional<target_notice> target_table::on_leaving(target_id const& id,
+                                                      time_point started,
+                                                      time_point now) {
+    auto* entry = find(id);
+    // The response of an earlier incarnation says nothing about this one.
+    if (!entry || started < entry->listed_since || !mark_leaving(*entry, now))
+        return std::nullopt;
+    entry->evidence = {notice_kind::leaving, true, now};
+    return target_notice{id, entry->info.started_ms, notice_kind::leaving};
+}
+
+void target_table::on_rest(target_id const& id, duration rest,
+                           time_point started, time_point now) {
+    auto* entry = find(id);
+    if (!entry || started < entry->listed_since)
+        return;
+    entry->availability =
+        after_rest_asked(entry->availability, rest,
+                         std::uniform_real_distribution<double>(0, 1)(random_),
+                         options_.availability, now);
+}
+
+std::optional<time_point> target_table::rest_end(service_id const& service,
+                                                 time_point now) const {
+    std::optional<time_point> out;
+    for (auto const* entry : targets_of(service)) {
+        if (!entry->usable() || entry->vanished_at ||
+            entry->availability.leaving_since)
+            continue;
+        auto const end = entry->availability.rests_until;
+        if (end <= now)
+            return std::nullopt;
+        out = std::min(out.value_or(end), end);
+    }
+    return out;
+}
+
 std::size_t target_table::size(service_id const& service) const {
     return static_cast<std::size_t>(
         std::ranges::count_if(targets_of(service), [](auto const* entry) {
@@ -408,7 +466,9 @@
     out.target = entry.info.target.id;
     out.service = entry.info.target.service;
     out.in_flight = entry.in_flight;
-    out.leaving = entry.info.leaving;
+    out.leaving =
+        entry.info.leaving || entry.availability.leaving_since.has_value();
+    out.resting = now < entry.availability.rests_until;
     out.unreachable = entry.unreachable(now);
     out.vanished = entry.vanished_at.has_value();
     out.replaced = entry.address_reused;
