--- a/src/yuccabeam/placement/availability_test.cpp
+++ b/src/yuccabeam/placement/availability_test.cpp
@@ -30,6 +30,7 @@
 
     explicit fixture(std::vector<std::string> const& ids) {
         std::vector<discovered_target> list;
+        list.reserve(ids.size());
         for (auto const& id : ids)
             list.push_back(listed(id, process_start));
         table.replace(list, false, start - 1min);
