End a wait for a slot with the next attempt, and count a request once

Found by reading the change: a wait that began when a hedge could not connect outlived the retry after the first attempt's failure, so that the next check sent one more attempt without credit. Each look counted as a request for the allowance of trials, and a target without known slots was always crowded. Change: a sent attempt ends the wait, only the first look counts, slots are one at least. Evidence: slot_wait_test; without the fix 3 attempts are sent where 2 are allowed.

--- a/include/yuccabeam/placement/request_dispatch.hpp
+++ b/include/yuccabeam/placement/request_dispatch.hpp
@@ -194,6 +194,7 @@
     bool ended_ = false;
     bool checked_ = false;
     bool waiting_ = false; ///< for a slot; `next_check_` is the next look
+    bool looked_ = false;  ///< at the targets, at least once
     time_point wait_end_{};
     duration look_interval_{}; ///< mean
     bool succeeded_ = false;
--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -146,6 +146,7 @@
     /// `exclude`; chosen if no other target is reachable.
     std::vector<target_id> retryable_targets;
     bool avoid_crowded = false; ///< leave out crowded targets
+    bool repeated_look = false; ///< an earlier look of this request was counted
 };
 
 /// Targets that a request could still choose.
--- a/src/yuccabeam/placement/request_dispatch.cpp
+++ b/src/yuccabeam/placement/request_dispatch.cpp
@@ -72,11 +72,13 @@
     if (!enough_time(now))
         return end("deadline", now, std::move(step));
     auto wanted = next_choice(now);
+    wanted.repeated_look = std::exchange(looked_, true);
     auto chosen = dependencies_.table.choose(wanted, now);
     if (chosen && waits_for_slot(*chosen, now))
         return wait_for_slot(now, std::move(step));
     if (chosen && chosen->crowded && request_.idempotent) {
         wanted.avoid_crowded = true;
+        wanted.repeated_look = true;
         chosen = dependencies_.table.choose(wanted, now);
         if (!chosen)
             return end("target_full", now, std::move(step));
@@ -116,6 +118,7 @@
     attempt.started = now;
     step.action = dispatch_action::send;
     step.attempt = attempts_.size();
+    waiting_ = false;
     tried_.push_back(attempt.to.id);
     std::erase(retryable_targets_, attempt.to.id);
     dependencies_.table.on_start(attempt.to.id, now);
--- a/src/yuccabeam/placement/slot_wait_test.cpp
+++ b/src/yuccabeam/placement/slot_wait_test.cpp
@@ -42,16 +42,18 @@
         table.on_peer_activity({"other"}, {{target}, 0, in_flight}, start);
     }
 
-    request_dispatch dispatch(bool idempotent, duration time_left) {
+    request_dispatch dispatch(bool idempotent, duration time_left,
+                              dispatch_options options = {}) {
         dispatch_request request;
         request.service = {"svc"};
         request.idempotent = idempotent;
         request.max_attempts = 2;
         request.latency_objective = 2s;
         request.deadline = start + time_left;
-        return {request, {table, budget, [this](time_point now) {
-                              return budget.allows(now);
-                          }}};
+        return {request,
+                {table, budget,
+                 [this](time_point now) { return budget.allows(now); }},
+                options};
     }
 };
 
@@ -161,3 +163,44 @@
         }
     }
 }
+
+// Guards against a wait that outlives its request's next attempt: the check of
+// that attempt would send one more, without credit.
+TEST_CASE("a wait ends with the next attempt, whatever causes it") {
+    fixture f(2, false);
+    f.load(0);
+    auto dispatch = f.dispatch(true, 4s, {.wait_share = 1});
+    auto const first = dispatch.start(start);
+    REQUIRE(first.action == dispatch_action::send);
+    auto const hedge = dispatch.on_check(*dispatch.next_check());
+    REQUIRE(hedge.action == dispatch_action::send);
+    for (auto const* id : {"t0", "t1", "t2"})
+        f.load(crowd, id);
+    auto const now = start + 1500ms;
+    dispatch.on_attempt_end(hedge.attempt, attempt_outcome::connect_failed,
+                            now);
+    REQUIRE(dispatch.waiting());
+    for (auto const* id : {"t0", "t1", "t2"})
+        f.load(0, id);
+    auto const retry =
+        dispatch.on_attempt_end(first.attempt, attempt_outcome::reset, now);
+    REQUIRE(retry.action == dispatch_action::send);
+    auto const sent = dispatch.attempts_sent();
+    if (dispatch.next_check())
+        dispatch.on_check(*dispatch.next_check());
+    CHECK_FALSE(dispatch.waiting());
+    CHECK(dispatch.attempts_sent() == sent);
+}
+
+TEST_CASE(
+    "a target whose slots are not known is not crowded without requests") {
+    discovered_target unknown;
+    unknown.target = {{"t"}, {"svc"}, {"a"}, "x", 0, 300};
+    target_table table({"a"}, 1);
+    table.replace({unknown}, false, start);
+    choice_request wanted;
+    wanted.service = {"svc"};
+    auto const chosen = table.choose(wanted, start);
+    REQUIRE(chosen.has_value());
+    CHECK_FALSE(chosen->crowded);
+}
--- a/src/yuccabeam/placement/target_table.cpp
+++ b/src/yuccabeam/placement/target_table.cpp
@@ -170,7 +170,7 @@
 std::optional<choice> target_table::choose(choice_request const& wanted,
                                            time_point now) {
     auto const request = request_conditions_of(wanted);
-    if (wanted.exclude.empty())
+    if (wanted.exclude.empty() && !wanted.repeated_look)
         trials_.on_request(wanted.service);
     std::vector<ranked> best;
     auto all = candidates(wanted, now);
@@ -221,7 +221,7 @@
 }
 
 bool target_table::crowded(record const& entry, time_point now) const {
-    double const slots = entry.info.target.slots;
+    double const slots = std::max<std::uint32_t>(entry.info.target.slots, 1);
     return in_flight(entry, now) >=
            std::ceil(slots * (1 + options_.crowded_queue_share));
 }
