--- a/src/yuccabeam/bench/placement_world_test.cpp
+++ b/src/yuccabeam/bench/placement_world_test.cpp
@@ -59,14 +59,19 @@
     std::vector<placement_result> results; ///< by seed, from 1 on
 };
 
+std::vector<placement_result> play(placement_scenario scenario) {
+    std::vector<placement_result> out;
+    out.reserve(seeds);
+    for (scenario.seed = 1; scenario.seed <= seeds; ++scenario.seed)
+        out.push_back(run_placement(scenario));
+    return out;
+}
+
 std::vector<played_row> const& played() {
     static std::vector<played_row> const all = [] {
         std::vector<played_row> out;
-        for (auto [name, scenario] : rows()) {
-            out.push_back({name, {}});
-            for (scenario.seed = 1; scenario.seed <= seeds; ++scenario.seed)
-                out.back().results.push_back(run_placement(scenario));
-        }
+        for (auto const& row : rows())
+            out.push_back({row.name, play(row.scenario)});
         return out;
     }();
     return all;
@@ -128,10 +133,7 @@
     scenario.losses.front().at = seconds(18);
     scenario.troubles.clear();
     scenario.failing_share = 0;
-    std::vector<placement_result> results;
-    for (scenario.seed = 1; scenario.seed <= seeds; ++scenario.seed)
-        results.push_back(run_placement(scenario));
-    CHECK(mean_served(results, &placement_result::window_checks) >=
+    CHECK(mean_served(play(scenario), &placement_result::window_checks) >=
           least_served);
 }
 
@@ -144,10 +146,7 @@
     scenario.troubles = {
         {target_trouble::reset, 0.85, 3, seconds(28), seconds(5)}};
     scenario.failing_share = 0;
-    std::vector<placement_result> results;
-    for (scenario.seed = 1; scenario.seed <= seeds; ++scenario.seed)
-        results.push_back(run_placement(scenario));
-    CHECK(mean_served(results, &placement_result::window_checks) >=
+    CHECK(mean_served(play(scenario), &placement_result::window_checks) >=
           least_served);
 }
 
