Wait for a slot only while all sound targets are crowded

Cause, by reading: a request whose choice was a suspected target waited if any one sound target was crowded. In a service with many targets one nearly always is, so recovered targets that are still suspected got no requests. Change: all sound targets that can be reached have to be crowded. Evidence: slot_wait_test has the case; the model's cases for requests with little time pass as before.

--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -175,7 +175,7 @@
     bool trial = false;     ///< the request is the trial of a suspected target
     bool queued = false;    ///< all its slots are in use
     bool crowded = false;   ///< more requests than it should have in its queue
-    /// A target that isn't suspected was passed over as it is crowded.
+    /// The target is suspected, and all that aren't are crowded.
     bool passed_crowded = false;
     bool already_tried = false; ///< the request failed here before
     std::optional<target_notice> notice;
@@ -427,9 +427,8 @@
     request_conditions_of(choice_request const& wanted) const;
     target_conditions conditions_of(candidate const& at, time_point now) const;
     bool crowded(record const& entry, time_point now) const;
-    bool has_crowded_alternative(std::vector<candidate> const& all,
-                                 choice_request const& wanted,
-                                 time_point now) const;
+    bool all_sound_crowded(std::vector<candidate> const& all,
+                           choice_request const& wanted, time_point now) const;
     bool listed(record const& entry) const;
     std::vector<record*> newly_missing();
     std::set<service_id> services_with_mass_loss() const;
--- a/src/yuccabeam/placement/slot_wait_test.cpp
+++ b/src/yuccabeam/placement/slot_wait_test.cpp
@@ -204,3 +204,26 @@
     REQUIRE(chosen.has_value());
     CHECK_FALSE(chosen->crowded);
 }
+
+// Guards against requests that wait for one crowded target of many and so leave
+// recovered targets without requests.
+TEST_CASE("a crowded target doesn't keep requests from a suspected one while "
+          "another sound target has room") {
+    fixture f(2, false);
+    choice_request wanted;
+    wanted.service = {"svc"};
+    wanted.retryable = wanted.idempotent = true;
+    f.table.on_peer_notice({{"t1"}, 0, notice_kind::failed}, start);
+    f.load(crowd, "t0");
+    f.load(slots + 1, "t2");
+    for (int i = 0; i < 50; ++i) {
+        auto const chosen = f.table.choose(wanted, start);
+        REQUIRE(chosen.has_value());
+        CHECK_FALSE(chosen->passed_crowded);
+    }
+    f.load(crowd, "t2");
+    wanted.exclude = {{"t0"}, {"t2"}};
+    auto const last = f.table.choose(wanted, start);
+    REQUIRE(last.has_value());
+    CHECK_FALSE(last->passed_crowded);
+}
--- a/src/yuccabeam/placement/target_table.cpp
+++ b/src/yuccabeam/placement/target_table.cpp
@@ -208,8 +208,8 @@
     out.already_tried = chosen.tier == tier_already_tried;
     out.queued = in_flight(entry, now) >= entry.info.target.slots;
     out.crowded = crowded(entry, now);
-    out.passed_crowded = out.suspected && !out.trial &&
-                         has_crowded_alternative(all, wanted, now);
+    out.passed_crowded =
+        out.suspected && !out.trial && all_sound_crowded(all, wanted, now);
     if (out.trial) {
         if (!wanted.retryable)
             trials_.on_trial(wanted.service);
@@ -226,15 +226,20 @@
            std::ceil(slots * (1 + options_.crowded_queue_share));
 }
 
-bool target_table::has_crowded_alternative(std::vector<candidate> const& all,
-                                           choice_request const& wanted,
-                                           time_point now) const {
-    return std::ranges::any_of(all, [&](candidate const& at) {
-        return !is_suspected(at.risk) && !at.entry->unreachable(now) &&
-               !at.entry->vanished_at &&
-               !contains(wanted.retryable_targets, at.entry->info.target.id) &&
-               crowded(*at.entry, now);
-    });
+bool target_table::all_sound_crowded(std::vector<candidate> const& all,
+                                     choice_request const& wanted,
+                                     time_point now) const {
+    std::size_t sound = 0;
+    for (auto const& at : all) {
+        if (is_suspected(at.risk) || at.entry->unreachable(now) ||
+            at.entry->vanished_at || at.entry->availability.leaving_since ||
+            contains(wanted.retryable_targets, at.entry->info.target.id))
+            continue;
+        if (!crowded(*at.entry, now))
+            return false;
+        ++sound;
+    }
+    return sound > 0;
 }
 
 duration target_table::jittered(duration mean) {
