Let no request wait for a slot in a fleet whose loads are relayed

Cause: above 64 daemons loads arrive by relays; by these targets looked crowded whose slots were free, and requests left them. Change: with relayed loads no target counts as crowded.

--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -90,7 +90,8 @@
     /// hedged requests and for avoiding targets after a single doubt.
     double room_utilisation = 0.55;
     /// In-flight requests beyond the slots of a target, as a share of the
-    /// slots, from which the target is crowded.
+    /// slots, from which the target is crowded. Loads that arrive by a relay
+    /// are too old for this: no target is crowded then.
     double crowded_queue_share = 0.34;
     /// Validity of a peer's report of its in-flight requests.
     duration activity_memory = std::chrono::seconds(5);
@@ -454,7 +455,8 @@
     std::map<service_id, std::vector<record*>> by_service_;
     bool any_vanished_ = false;
     std::vector<std::uint64_t> changed_loads_; ///< keys
-    std::uint64_t listing_ = 0; ///< sequence number of the last list
+    bool loads_relayed_ = false; ///< in a large fleet, and so older
+    std::uint64_t listing_ = 0;  ///< sequence number of the last list
     service_loads loads_;
     trial_allowance trials_;
     std::map<failure_domain_id, domain_report> domain_reports_; ///< the last
--- a/src/yuccabeam/placement/slot_wait_test.cpp
+++ b/src/yuccabeam/placement/slot_wait_test.cpp
@@ -227,3 +227,11 @@
     REQUIRE(last.has_value());
     CHECK_FALSE(last->passed_crowded);
 }
+
+// Guards against waits for slots that are free already: relayed loads are old.
+TEST_CASE("no request waits in a fleet whose loads are relayed") {
+    fixture f(0);
+    f.table.on_relayed_loads({}, start);
+    auto dispatch = f.dispatch(true, 4s);
+    CHECK(dispatch.start(start).action == dispatch_action::send);
+}
--- a/src/yuccabeam/placement/target_loads.cpp
+++ b/src/yuccabeam/placement/target_loads.cpp
@@ -53,6 +53,7 @@
 void target_table::on_subscriber_loads(daemon_id const& peer,
                                        std::vector<target_load> const& loads,
                                        time_point now) {
+    loads_relayed_ = true;
     for (auto const& load : loads)
         if (auto* entry = find(load.key))
             set_peer_load(*entry, peer, load, now);
@@ -73,6 +74,7 @@
 
 void target_table::on_relayed_loads(std::vector<target_load> const& loads,
                                     time_point now) {
+    loads_relayed_ = true;
     for (auto const& load : loads) {
         auto* entry = find(load.key);
         if (!entry)
--- a/src/yuccabeam/placement/target_table.cpp
+++ b/src/yuccabeam/placement/target_table.cpp
@@ -222,8 +222,9 @@
 
 bool target_table::crowded(record const& entry, time_point now) const {
     double const slots = std::max<std::uint32_t>(entry.info.target.slots, 1);
-    return in_flight(entry, now) >=
-           std::ceil(slots * (1 + options_.crowded_queue_share));
+    return !loads_relayed_ &&
+           in_flight(entry, now) >=
+               std::ceil(slots * (1 + options_.crowded_queue_share));
 }
 
 bool target_table::all_sound_crowded(std::vector<candidate> const& all,
