Apply the configured limit to targets that say that they leave

Found by reading the change: the limit of a site was used for what the store says, and 2 s for what a target itself says, so that a site with a shorter limit would have been served too long. Change: both come from leaving_limit_s. Evidence: settings_test; without the line the second check has 2 s.

--- a/src/yuccabeam/gateway/daemon_options.cpp
+++ b/src/yuccabeam/gateway/daemon_options.cpp
@@ -17,6 +17,7 @@
 target_table_options_of(settings const& settings) {
     placement::target_table_options out;
     out.leaving_limit = settings.leaving_limit;
+    out.availability.leaving_limit = settings.leaving_limit;
     out.domain_report_targets = max_activities_per_message;
     return out;
 }
--- a/src/yuccabeam/gateway/settings_test.cpp
+++ b/src/yuccabeam/gateway/settings_test.cpp
@@ -1,3 +1,4 @@
+#include "yuccabeam/gateway/daemon_options.hpp"
 #include "yuccabeam/gateway/program.hpp"
 #include "yuccabeam/gateway/settings.hpp"
 
@@ -94,3 +95,13 @@
         }
     }
 }
+
+// Guards against a limit that holds for what the store says, and not for what a
+// target itself says.
+TEST_CASE("the limit for leaving targets is the same whoever says it") {
+    settings given;
+    given.leaving_limit = 700ms;
+    auto const options = target_table_options_of(given);
+    CHECK(options.leaving_limit == 700ms);
+    CHECK(options.availability.leaving_limit == 700ms);
+}
