--- a/review/stand/drain.cpp
+++ b/review/stand/drain.cpp
@@ -19,20 +19,19 @@
     now_s();
 
     store platform;
-    platform.put("op/config",
-                 json{{"version", "r7"},
-                      {"resources",
-                       {route("r-stock", "shop.example", "/stock/", "idempotent",
-                              "shelfcount", 3, 2, 2),
-                        service("shelfcount"), limits()}}}
-                     .dump());
+    platform.put("op/config", json{{"version", "r7"},
+                                   {"resources",
+                                    {route("r-stock", "shop.example", "/stock/",
+                                           "idempotent", "shelfcount", 3, 2, 2),
+                                     service("shelfcount"), limits()}}}
+                                  .dump());
     std::vector<std::string> const zones = {"a", "b", "c"};
     std::vector<std::unique_ptr<worker>> workers;
     auto const add_worker = [&] {
         auto const n = workers.size();
-        workers.push_back(std::make_unique<worker>(
-            platform, log, "i-" + std::to_string(n), "shelfcount",
-            zones[n % 3], 6, 24, 0.05));
+        workers.push_back(
+            std::make_unique<worker>(platform, log, "i-" + std::to_string(n),
+                                     "shelfcount", zones[n % 3], 6, 24, 0.05));
         workers.back()->enter();
     };
     for (int i = 0; i < 6; ++i)
@@ -74,8 +73,8 @@
                 while (!stop) {
                     sleep_until_s(next);
                     next += 12 / requests_per_s;
-                    auto const id = "q" + std::to_string(g) + "-" +
-                                    std::to_string(++sent);
+                    auto const id =
+                        "q" + std::to_string(g) + "-" + std::to_string(++sent);
                     auto const got = ask(fleet[g]->front(), "GET",
                                          "shop.example", "/stock/1", id, 6);
                     bool const good = got.result == read_result::complete &&
@@ -135,7 +134,8 @@
             log.line(text);
         }
     log.line("sent " + std::to_string(sent) + ", served " +
-             std::to_string(served) + ", late arrivals " + std::to_string(late));
+             std::to_string(served) + ", late arrivals " +
+             std::to_string(late));
     std::cout << "late arrivals: " << late << std::endl;
     for (auto& one : fleet)
         one->kill_now();
--- a/review/stand/net.hpp
+++ b/review/stand/net.hpp
@@ -180,8 +180,8 @@
             out.fields.emplace_back(line.substr(0, colon), value);
         }
         buffer_.erase(0, end + 4);
-        auto const length =
-            static_cast<std::size_t>(std::atoll(out.field("Content-Length").c_str()));
+        auto const length = static_cast<std::size_t>(
+            std::atoll(out.field("Content-Length").c_str()));
         while (buffer_.size() < length)
             if (auto const r = more(until); r != read_result::complete)
                 return r;
@@ -219,8 +219,8 @@
     std::string out = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
     for (auto const& [name, value] : fields)
         out += name + ": " + value + "\r\n";
-    return out + "Content-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
+    return out + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
 }
 
 // True if the peer has closed the connection.
--- a/review/stand/platform.hpp
+++ b/review/stand/platform.hpp
@@ -63,8 +63,8 @@
     std::string out;
     for (std::size_t i = 0; i < raw.size(); ++i) {
         if (raw[i] == '%' && i + 2 < raw.size()) {
-            out += static_cast<char>(
-                std::stoi(raw.substr(i + 1, 2), nullptr, 16));
+            out +=
+                static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16));
             i += 2;
         } else
             out += raw[i];
@@ -89,7 +89,8 @@
     }
 
     int add_entrance() {
-        auto* const at = entrances_.emplace_back(std::make_unique<entrance>()).get();
+        auto* const at =
+            entrances_.emplace_back(std::make_unique<entrance>()).get();
         at->port = serve([this, at](int fd) { session(fd, *at); });
         return at->port;
     }
@@ -222,7 +223,8 @@
             auto const after = query_value(target, "after");
             bool more = false;
             for (auto const& [key, at] : items_) {
-                if (key.rfind(prefix, 0) != 0 || (!after.empty() && key <= after))
+                if (key.rfind(prefix, 0) != 0 ||
+                    (!after.empty() && key <= after))
                     continue;
                 if (rows.size() == 500) {
                     more = true;
@@ -243,11 +245,13 @@
                 json rows = json::array();
                 for (auto const& e : events_)
                     if (e.revision > after && e.key.rfind(prefix, 0) == 0)
-                        rows.push_back(e.removed ? json{{"key", e.key},
-                                                        {"revision", e.revision},
-                                                        {"tombstone", true}}
-                                                 : row(e.key, e.at));
-                if (!rows.empty() || now_s() >= until || by.value != reach::open)
+                        rows.push_back(e.removed
+                                           ? json{{"key", e.key},
+                                                  {"revision", e.revision},
+                                                  {"tombstone", true}}
+                                           : row(e.key, e.at));
+                if (!rows.empty() || now_s() >= until ||
+                    by.value != reach::open)
                     return ok({{"events", rows}, {"current_rev", revision_}});
                 changed_.wait_for(lock, std::chrono::milliseconds(20));
             }
@@ -257,7 +261,8 @@
             return ok(json::object());
         }
         if (starts("/api/kv-lease")) {
-            auto const ttl = json::parse(request.body).at("ttl_s_time").get<double>();
+            auto const ttl =
+                json::parse(request.body).at("ttl_s_time").get<double>();
             leases_[++last_lease_] = {ttl, now_s() + ttl};
             return ok({{"lease", last_lease_}, {"ttl_s_time", ttl}});
         }
@@ -383,16 +388,20 @@
         auto const id = request.field("X-Attempt-Id");
         auto const expected = request.field("X-Expect-Instance");
         if (!expected.empty() && expected != id_)
-            return send_all(fd, response(421, {{"X-Instance-Id", id_},
-                                               {"X-Attempt-Id", id}}, ""));
+            return send_all(
+                fd,
+                response(421, {{"X-Instance-Id", id_}, {"X-Attempt-Id", id}},
+                         ""));
         double const limit =
             now_s() + std::atof(request.field("X-Deadline-Ms").c_str()) / 1000;
         {
             std::lock_guard lock(mutex_);
             arrivals_.push_back({now_s(), id_, id});
             if (busy_ >= slots_ + queue_) {
-                return send_all(fd, response(503, {{"X-Not-Executed", "1"},
-                                                   {"X-Attempt-Id", id}}, ""));
+                return send_all(fd, response(503,
+                                             {{"X-Not-Executed", "1"},
+                                              {"X-Attempt-Id", id}},
+                                             ""));
             }
             ++busy_;
         }
@@ -408,8 +417,9 @@
         if (!is_short(request))
             body.resize(std::max(body.size(), answer_bytes_), '.');
         bool const sent = send_all(
-            fd, response(200, {{"X-Attempt-Id", id},
-                               {"X-Response-Signature", "sig." + id_ + "." + id}},
+            fd, response(200,
+                         {{"X-Attempt-Id", id},
+                          {"X-Response-Signature", "sig." + id_ + "." + id}},
                          body));
         log_.line("worker " + id_ + ": answer to " + id +
                   (sent ? " is sent" : " is broken off"));
@@ -524,7 +534,8 @@
         posix_spawn_file_actions_addopen(&actions, 1, output.c_str(),
                                          O_CREAT | O_WRONLY | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, 1, 2);
-        if (posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv, env) != 0)
+        if (posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv, env) !=
+            0)
             throw std::runtime_error("cannot start " + program);
         posix_spawn_file_actions_destroy(&actions);
         log_.line("started " + name_ + ", callers at " + at(front_));
@@ -607,8 +618,7 @@
         if (method == "POST")
             text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
         out.result = send_all(fd, text + "\r\n" + body)
-                         ? reader(fd).read(out.answer,
-                                           out.sent_at + time_limit)
+                         ? reader(fd).read(out.answer, out.sent_at + time_limit)
                          : read_result::reset;
         close(fd);
     }
--- a/review/stand/press.cpp
+++ b/review/stand/press.cpp
@@ -24,8 +24,9 @@
 // Sends a request on the kept channel and reads the answer at an even pace.
 void run(int fd, download& out) {
     out.sent_at = now_s();
-    send_all(fd, "GET /file/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " +
-                     out.id + "\r\nX-Deadline-Ms: 5000\r\n\r\n");
+    send_all(fd,
+             "GET /file/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " +
+                 out.id + "\r\nX-Deadline-Ms: 5000\r\n\r\n");
     std::string text;
     std::size_t head = 0;
     std::size_t length = 0;
@@ -49,7 +50,8 @@
             length = static_cast<std::size_t>(
                 std::atoll(text.c_str() + text.find("Content-Length: ") + 16));
         }
-        sleep_until_s(first + static_cast<double>(text.size()) / read_bytes_per_s);
+        sleep_until_s(first +
+                      static_cast<double>(text.size()) / read_bytes_per_s);
     }
     out.ended_at = now_s();
     out.bytes = text.size() - head;
@@ -66,19 +68,18 @@
     bool const trouble = !text || std::string(text) != "0";
     now_s();
     store platform;
-    platform.put("op/config",
-                 json{{"version", "r7"},
-                      {"resources",
-                       {route("r-file", "shop.example", "/file/", "download",
-                              "specbin", 5, 1.2, 2),
-                        service("specbin"), limits()}}}
-                     .dump());
+    platform.put("op/config", json{{"version", "r7"},
+                                   {"resources",
+                                    {route("r-file", "shop.example", "/file/",
+                                           "download", "specbin", 5, 1.2, 2),
+                                     service("specbin"), limits()}}}
+                                  .dump());
     std::vector<std::string> const zones = {"a", "b", "c"};
     std::vector<std::unique_ptr<worker>> workers;
     for (std::size_t i = 0; i < 6; ++i) {
-        workers.push_back(std::make_unique<worker>(
-            platform, log, "i-" + std::to_string(i), "specbin", zones[i % 3], 6,
-            24, 0.3));
+        workers.push_back(
+            std::make_unique<worker>(platform, log, "i-" + std::to_string(i),
+                                     "specbin", zones[i % 3], 6, 24, 0.3));
         workers.back()->enter();
     }
     gateway edge(log, dir, "edge-1", "a", zones, platform.add_entrance(),
@@ -116,7 +117,8 @@
         bool const good =
             fd >= 0 &&
             send_all(fd, "GET /file/0 HTTP/1.1\r\nHost: shop.example\r\n"
-                         "X-Attempt-Id: w" + std::to_string(++opened) +
+                         "X-Attempt-Id: w" +
+                             std::to_string(++opened) +
                              "\r\nX-Deadline-Ms: 5000\r\n\r\n") &&
             reader(fd).read(answer, now_s() + 5) == read_result::complete &&
             answer.status() == 200;
@@ -156,7 +158,8 @@
                     kept.push_back(fd);
                 } else if (d.status >= 400) {
                     ++refused;
-                } else if (d.status == 200 && d.ended_at - d.sent_at < time_limit) {
+                } else if (d.status == 200 &&
+                           d.ended_at - d.sent_at < time_limit) {
                     ++cut;
                     log.line("BROKEN LOST: the kept channel of " + d.id +
                              " is closed without a complete answer");
--- a/review/stand/stop.cpp
+++ b/review/stand/stop.cpp
@@ -23,8 +23,9 @@
 // Sends a request on the kept channel and reads the answer at an even pace.
 void run(int fd, download& out) {
     out.sent_at = now_s();
-    send_all(fd, "GET /file/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " +
-                     out.id + "\r\nX-Deadline-Ms: 5000\r\n\r\n");
+    send_all(fd,
+             "GET /file/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " +
+                 out.id + "\r\nX-Deadline-Ms: 5000\r\n\r\n");
     std::string text;
     std::size_t head = 0;
     std::size_t length = 0;
@@ -48,7 +49,8 @@
             length = static_cast<std::size_t>(
                 std::atoll(text.c_str() + text.find("Content-Length: ") + 16));
         }
-        sleep_until_s(first + static_cast<double>(text.size()) / read_bytes_per_s);
+        sleep_until_s(first +
+                      static_cast<double>(text.size()) / read_bytes_per_s);
     }
     out.ended_at = now_s();
     out.bytes = text.size() - head;
@@ -65,19 +67,18 @@
     bool const trouble = !text || std::string(text) != "0";
     now_s();
     store platform;
-    platform.put("op/config",
-                 json{{"version", "r7"},
-                      {"resources",
-                       {route("r-file", "shop.example", "/file/", "download",
-                              "specbin", 5, 1.2, 2),
-                        service("specbin"), limits()}}}
-                     .dump());
+    platform.put("op/config", json{{"version", "r7"},
+                                   {"resources",
+                                    {route("r-file", "shop.example", "/file/",
+                                           "download", "specbin", 5, 1.2, 2),
+                                     service("specbin"), limits()}}}
+                                  .dump());
     std::vector<std::string> const zones = {"a", "b", "c"};
     std::vector<std::unique_ptr<worker>> workers;
     for (std::size_t i = 0; i < 4; ++i) {
-        workers.push_back(std::make_unique<worker>(
-            platform, log, "i-" + std::to_string(i), "specbin", zones[i % 3], 6,
-            24, 0.3));
+        workers.push_back(
+            std::make_unique<worker>(platform, log, "i-" + std::to_string(i),
+                                     "specbin", zones[i % 3], 6, 24, 0.3));
         workers.back()->enter();
     }
     std::vector<std::unique_ptr<gateway>> fleet;
@@ -103,7 +104,8 @@
         channels.push_back(connect_to(fleet[0]->front(), 1));
         message answer;
         if (!send_all(channels[i], "GET /file/0 HTTP/1.1\r\nHost: shop.example"
-                                   "\r\nX-Attempt-Id: w" + std::to_string(i) +
+                                   "\r\nX-Attempt-Id: w" +
+                                       std::to_string(i) +
                                        "\r\nX-Deadline-Ms: 5000\r\n\r\n") ||
             reader(channels[i]).read(answer, now_s() + 5) !=
                 read_result::complete ||
@@ -134,20 +136,22 @@
     int whole = 0;
     for (auto const& d : downloads) {
         char line[240];
-        std::snprintf(line, sizeof line,
-                      "client: %s sent %.2f s after the stop, status %d, %zu of "
-                      "%zu bytes, the channel's end %.2f s after sending",
-                      d.id.c_str(), d.sent_at - stop_at, d.status, d.bytes,
-                      answer_bytes, d.ended_at - d.sent_at);
+        std::snprintf(
+            line, sizeof line,
+            "client: %s sent %.2f s after the stop, status %d, %zu of "
+            "%zu bytes, the channel's end %.2f s after sending",
+            d.id.c_str(), d.sent_at - stop_at, d.status, d.bytes, answer_bytes,
+            d.ended_at - d.sent_at);
         log.line(line);
         std::cout << line << std::endl;
-        bool const complete = d.status == 503 ||
-                              (d.status == 200 && d.bytes == answer_bytes);
+        bool const complete =
+            d.status == 503 || (d.status == 200 && d.bytes == answer_bytes);
         whole += complete;
         if (complete || d.ended_at - d.sent_at >= time_limit)
             continue;
         ++lost;
-        log.line("BROKEN LOST: " + d.id + " was passed on, its worker had "
+        log.line("BROKEN LOST: " + d.id +
+                 " was passed on, its worker had "
                  "answered, and the channel ends without a complete answer");
     }
     for (auto& one : fleet)
