--- a/review/stand/net.hpp
+++ b/review/stand/net.hpp
@@ -65,15 +65,21 @@
     return fd;
 }
 
-// A port that is free for TCP and UDP now.
+// A port that is free for TCP and UDP now. It is below the range from which the
+// kernel takes the ports of outgoing connections, so that none of these takes
+// it before a gateway listens there.
 inline int free_port() {
+    static int next = 10'000 + static_cast<int>(getpid()) % 1'000 * 20;
     for (;;) {
-        int const tcp = listen_on_free_port();
-        int const port = port_of(tcp);
-        int const udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        int const port = next++;
+        if (next >= 32'000)
+            next = 10'000;
         auto const at = loopback(port);
-        bool const free =
-            bind(udp, reinterpret_cast<sockaddr const*>(&at), sizeof at) == 0;
+        auto const* const address = reinterpret_cast<sockaddr const*>(&at);
+        int const tcp = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int const udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        bool const free = bind(tcp, address, sizeof at) == 0 &&
+                          bind(udp, address, sizeof at) == 0;
         close(udp);
         close(tcp);
         if (free)
--- a/review/stand/platform.hpp
+++ b/review/stand/platform.hpp
@@ -538,6 +538,7 @@
             0)
             throw std::runtime_error("cannot start " + program);
         posix_spawn_file_actions_destroy(&actions);
+        std::ofstream(pid_file()) << pid_ << "\n";
         log_.line("started " + name_ + ", callers at " + at(front_));
     }
 
@@ -552,6 +553,7 @@
         kill(pid_, SIGKILL);
         waitpid(pid_, nullptr, 0);
         pid_ = 0;
+        unlink(pid_file().c_str());
     }
 
     bool is_ready() const {
@@ -578,6 +580,9 @@
     }
 
 private:
+    // Lets run.sh end the process if this program is ended itself.
+    std::string pid_file() const { return dir_ + "/" + name_ + ".pid"; }
+
     static std::string at(int port) {
         return "127.0.0.1:" + std::to_string(port);
     }
