Allow for the transit of ages that daemons pass on to each other

Cause: a heartbeat carries the age of the sender's copy, and its receiver counted that age from the moment of arrival. Each daemon that passed it on took the time in transit off again, so a copy seemed ever younger during an outage. What is held by the age of a copy was then held too long: the use of targets that left, and the check of the copy. Change: a receiver adds 25 ms to an age (time_of_event). The start of a period of availability needs none, as the earliest report wins. Found by reading for other holds that run from the news instead of the change. Test: a simulation of 33 daemons whose store is silent for 9 s.

--- a/include/yuccabeam/gateway/peer_message.hpp
+++ b/include/yuccabeam/gateway/peer_message.hpp
@@ -5,6 +5,7 @@
 #include "yuccabeam/placement/fleet_budget.hpp"
 #include "yuccabeam/placement/target_table.hpp"
 #include "yuccabeam/values/ids.hpp"
+#include "yuccabeam/values/time.hpp"
 
 #include <array>
 #include <chrono>
@@ -19,6 +20,11 @@
 
 namespace yuccabeam::gateway {
 
+/// The time of an event whose age a heartbeat carries, and earlier by an
+/// allowance for the time in transit: an age that daemons pass on to each other
+/// would otherwise lose that time at each of them.
+time_point time_of_event(std::chrono::milliseconds age, time_point received_at);
+
 /// Ages of the first and the last answer of a period.
 struct available_ages {
     std::chrono::milliseconds since{};
--- a/include/yuccabeam/gateway/store_availability.hpp
+++ b/include/yuccabeam/gateway/store_availability.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/gateway/peer_message.hpp"
 #include "yuccabeam/values/time.hpp"
 
 #include <chrono>
@@ -22,6 +23,10 @@
     bool operator==(available_period const&) const = default;
 };
 
+available_ages ages_of(available_period const& period, time_point now);
+/// The period of a heartbeat that arrived at `received_at`.
+available_period period_of(available_ages const& ages, time_point received_at);
+
 /// The shortest time without an answer after which entries of live targets may
 /// have expired.
 duration shortest_outage(store_availability_options const& options);
--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -275,8 +275,8 @@
     replace(std::vector<discovered_target> const& targets, time_point now,
             removal_evidence const& evidence = {});
     /// The store has been available since `since`: entries that are taken to
-    /// have expired in an outage that ended later were removed. Returns these
-    /// changes.
+    /// have expired in an outage that ended later are judged again. Returns
+    /// those that were removed.
     std::vector<target_change> on_store_available(time_point since,
                                                   time_point now);
     /// Removes vanished targets that have expired or were leaving.
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -189,14 +189,8 @@
     out.watching = store->watching() && !stopping_since;
     out.copy_age = std::chrono::duration_cast<std::chrono::milliseconds>(
         store->copy_age(boot_now()));
-    if (auto const& period = store->availability().period()) {
-        auto const now = boot_now();
-        auto const age = [&](time_point at) {
-            return std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                                         at);
-        };
-        out.store_available = {age(period->since), age(period->until)};
-    }
+    if (auto const& period = store->availability().period())
+        out.store_available = ages_of(*period, boot_now());
     out.store_call_failed = store->last_call_failed();
     announced_store_call_failure = out.store_call_failed;
     out.budgets = budgets.reports(boot_now());
@@ -208,9 +202,10 @@
         log_peer(message, now);
     for (auto const& [service, report] : message.budgets)
         budgets.of(service).on_report(message.sender, report, now);
-    store->on_confirmed(message.store_revision, now - message.copy_age);
+    store->on_confirmed(message.store_revision,
+                        time_of_event(message.copy_age, now));
     if (auto const& ages = message.store_available) {
-        store->on_available({now - ages->since, now - ages->until});
+        store->on_available(period_of(*ages, now));
         log_target_changes(target_table.on_store_available(
                                *store->availability().returned_at(now), now),
                            now);
--- a/src/yuccabeam/gateway/peer_message.cpp
+++ b/src/yuccabeam/gateway/peer_message.cpp
@@ -11,6 +11,8 @@
 // A datagram has a version, the kind and the fields of the message.
 constexpr std::size_t datagram_elements = 3;
 constexpr std::size_t changes_elements = 3;
+// Delivery and the receiver's event loop, usually.
+constexpr duration transit_allowance = std::chrono::milliseconds(25);
 // Bytes that the smallest element of an array in a body of changes takes.
 constexpr std::size_t least_change_bytes = 2;
 
@@ -39,6 +41,11 @@
 
 } // namespace
 
+time_point time_of_event(std::chrono::milliseconds age,
+                         time_point received_at) {
+    return received_at - age - transit_allowance;
+}
+
 std::vector<std::uint8_t> encode(peer_message const& message) {
     msgpack::sbuffer buffer;
     msgpack::packer<msgpack::sbuffer> out(buffer);
--- a/src/yuccabeam/gateway/store_availability.cpp
+++ b/src/yuccabeam/gateway/store_availability.cpp
@@ -23,6 +23,20 @@
                                  shortest_outage_intervals));
 }
 
+available_ages ages_of(available_period const& period, time_point now) {
+    auto const age = [&](time_point at) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - at);
+    };
+    return {age(period.since), age(period.until)};
+}
+
+// Only the last answer must not seem younger: a first answer that seems late
+// is replaced by that of a daemon which knows it better.
+available_period period_of(available_ages const& ages, time_point received_at) {
+    auto const until = time_of_event(ages.until, received_at);
+    return {std::min(received_at - ages.since, until), until};
+}
+
 available_period merge(available_period const& a, available_period const& b,
                        duration shortest_outage) {
     auto const& earlier = a.until <= b.until ? a : b;
--- a/src/yuccabeam/gateway/store_fleet_simulation.hpp
+++ b/src/yuccabeam/gateway/store_fleet_simulation.hpp
@@ -63,6 +63,10 @@
     std::function<void(update const&)> on_update = [](update const&) {};
 
     time_point now() const { return now_; }
+    /// When the daemon takes its copy to have been current.
+    time_point confirmed_at(std::size_t daemon) const {
+        return nodes_[daemon].schedule.confirmed_at();
+    }
 
     void advance() {
         for (auto& node : nodes_)
@@ -244,25 +248,28 @@
         message.watching = from.schedule.watching();
         message.store_call_failed = from.schedule.last_call_failed();
         from.reported_failure = message.store_call_failed;
-        auto const confirmed = now_ - from.schedule.copy_age(now_);
-        auto const available = from.availability.period();
+        message.copy_age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                from.schedule.copy_age(now_));
+        if (auto const& period = from.availability.period())
+            message.store_available = ages_of(*period, now_);
         for (auto& to : nodes_)
             if (to_all_domains || to.domain == from.domain)
-                send(to, [this, &to, message, confirmed, available] {
-                    if (available)
-                        to.availability.on_period(
-                            {available->since + link_delay,
-                             available->until + link_delay});
-                    to.table.on_heartbeat(message, now_);
-                    if (to.revision >= message.store_revision)
-                        to.schedule.on_confirmed(confirmed + link_delay);
-                });
+                send(to, [this, &to, message] { receive(to, message); });
         heartbeat_periods const periods;
         from.next_heartbeat = now_ + periods.same_domain;
         if (to_all_domains)
             from.next_other_domains_heartbeat = now_ + periods.other_domains;
     }
 
+    void receive(node& to, heartbeat const& message) {
+        if (auto const& ages = message.store_available)
+            to.availability.on_period(period_of(*ages, now_));
+        to.table.on_heartbeat(message, now_);
+        if (to.revision >= message.store_revision)
+            to.schedule.on_confirmed(time_of_event(message.copy_age, now_));
+    }
+
     void catch_up(node& node) {
         if (!node.table.peer_with_newer_copy(node.revision, now_)) {
             node.behind_since.reset();
--- a/src/yuccabeam/gateway/store_propagation_test.cpp
+++ b/src/yuccabeam/gateway/store_propagation_test.cpp
@@ -64,3 +64,21 @@
         CHECK(to_milliseconds(worst) <= to_milliseconds(apply_limit));
     }
 }
+
+// Guards against ages that lose the time in transit each time that a daemon
+// passes them on.
+TEST_CASE("no daemon takes its copy for younger than the store's last answer "
+          "in an outage") {
+    silence_case const outage{"an outage", [](auto, auto) { return true; }};
+    constexpr duration silent_from = 5s;
+    // A call that the store has received before is still answered.
+    constexpr duration answer = 20ms;
+    for (duration later = 0ms; later < 600ms; later += 100ms) {
+        store_fleet_simulation simulation(outage, silent_from + later, {1h});
+        auto const last = simulation.start + silent_from + later + answer;
+        while (simulation.now() < last + 9s)
+            simulation.advance();
+        for (std::size_t d = 0; d < simulation.daemons; ++d)
+            CHECK(to_milliseconds(simulation.confirmed_at(d) - last) <= 0);
+    }
+}
--- a/src/yuccabeam/placement/target_listing.cpp
+++ b/src/yuccabeam/placement/target_listing.cpp
@@ -51,7 +51,9 @@
             evidence.store_returned_at = since;
         else
             evidence.store_returned_at.reset();
-        changes.push_back(apply_removal(entry, evidence, *entry.vanished_at));
+        auto const change = apply_removal(entry, evidence, *entry.vanished_at);
+        if (!entry.expired)
+            changes.push_back(change);
     }
     expire(now);
     return changes;
