Don't take for new what waited in a socket during a pause

Cause: after a pause of the process, a response of the store and the ages in heartbeats were counted from the moment of reading. A response or a datagram from before the pause then confirmed the copy, opened the gate that holds requests until it is confirmed, and could hide an outage of the store. Found by reading for other holds that run from the news; no caller is known to have met it, and a pause excuses a machine for some seconds. Change: a response that is read after its call's timeout counts from the start of the call (time_of_answer); ages in heartbeats read in the first 200 ms after a pause are ignored, the rest of the heartbeat is used. Tests: both cases; the first fails without the change.

--- a/include/yuccabeam/gateway/serving_gate.hpp
+++ b/include/yuccabeam/gateway/serving_gate.hpp
@@ -13,6 +13,9 @@
     /// Requests are held for at most this long, as the store may be away: the
     /// time of a check on a new connection and of one that is lost.
     duration longest_hold = std::chrono::milliseconds(400);
+    /// Datagrams that are read for this long after a pause may have arrived
+    /// during it.
+    duration backlog = std::chrono::milliseconds(200);
 };
 
 /// Holds requests while this daemon's copy of the store may be outdated without
@@ -34,9 +37,15 @@
     /// a peer with newer information from it.
     bool open(time_point now, time_point confirmed_at) const;
 
+    /// True if a datagram that is read now may be older than it seems.
+    bool reads_backlog(time_point now) const {
+        return resumed_at_ && now - *resumed_at_ < options_.backlog;
+    }
+
 private:
     serving_gate_options options_;
     std::optional<time_point> running_at_;
+    std::optional<time_point> resumed_at_; ///< after the last pause
     std::optional<time_point> closed_at_;
 };
 
--- a/include/yuccabeam/gateway/store_schedule.hpp
+++ b/include/yuccabeam/gateway/store_schedule.hpp
@@ -52,8 +52,14 @@
     bool may_be_stale = false;
     std::chrono::milliseconds wait{}; ///< how long the store may wait
     std::chrono::milliseconds timeout{};
+    time_point started_at{};
 };
 
+/// The latest time at which the store has certainly given an answer that is
+/// read at `now`. After the call's timeout it may have waited in a socket while
+/// this process was paused.
+time_point time_of_answer(planned_call const& call, time_point now);
+
 /// Schedules a daemon's reads of the store: one listing, then watches while the
 /// daemon should watch the store, and retries with backoff after failures.
 ///
--- a/include/yuccabeam/gateway/store_sync.hpp
+++ b/include/yuccabeam/gateway/store_sync.hpp
@@ -98,7 +98,7 @@
     void on_watch(planned_call const& plan, store_status status,
                   http1::client_result const& response, std::uint64_t after);
     void succeed(planned_call const& plan, bool has_changes);
-    void on_answer();
+    void on_answer(planned_call const& plan);
     void fail(planned_call const& plan, store_status status,
               http1::client_result const& response);
     void maintain_entry(time_point now);
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -50,6 +50,8 @@
     result<void> open_peer_transport();
     void fill_heartbeat(heartbeat& out);
     void on_heartbeat(heartbeat const& message, bool is_new);
+    /// What a heartbeat says of the store's last answers.
+    void apply_ages(heartbeat const& message, time_point now);
     bool on_peer_changes(change_message const& message);
     void log_peer(heartbeat const& message, time_point now);
     void publish_notice(std::optional<placement::target_notice> const& notice,
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -202,14 +202,20 @@
         log_peer(message, now);
     for (auto const& [service, report] : message.budgets)
         budgets.of(service).on_report(message.sender, report, now);
+    gate.on_running(now);
+    if (!gate.reads_backlog(now))
+        apply_ages(message, now);
+}
+
+void implementation::apply_ages(heartbeat const& message, time_point now) {
     store->on_confirmed(message.store_revision,
                         time_of_event(message.copy_age, now));
-    if (auto const& ages = message.store_available) {
-        store->on_available(period_of(*ages, now));
-        log_target_changes(target_table.on_store_available(
-                               *store->availability().returned_at(now), now),
-                           now);
-    }
+    if (!message.store_available)
+        return;
+    store->on_available(period_of(*message.store_available, now));
+    log_target_changes(target_table.on_store_available(
+                           *store->availability().returned_at(now), now),
+                       now);
 }
 
 // When a fleet starts, all its daemons are heard at once.
--- a/src/yuccabeam/gateway/serving_gate.cpp
+++ b/src/yuccabeam/gateway/serving_gate.cpp
@@ -4,7 +4,7 @@
 
 void serving_gate::on_running(time_point now) {
     if (running_at_ && now - *running_at_ >= options_.pause)
-        closed_at_ = now;
+        closed_at_ = resumed_at_ = now;
     running_at_ = now;
 }
 
--- a/src/yuccabeam/gateway/serving_gate_test.cpp
+++ b/src/yuccabeam/gateway/serving_gate_test.cpp
@@ -40,6 +40,18 @@
     }
 }
 
+// Guards against ages that are counted from the end of a pause.
+TEST_CASE("datagrams that are read just after a pause count as delayed") {
+    serving_gate_options const options;
+    serving_gate gate;
+    gate.on_running(start);
+    CHECK_FALSE(gate.reads_backlog(start));
+    auto const resumed = start + options.pause;
+    gate.on_running(resumed);
+    CHECK(gate.reads_backlog(resumed));
+    CHECK_FALSE(gate.reads_backlog(resumed + options.backlog));
+}
+
 // Guards against a restarted daemon that uses a target or a route which its
 // earlier process knew to be gone, because one peer's copy is older.
 TEST_CASE("requests are held while the first copy is that of one peer") {
--- a/src/yuccabeam/gateway/store_schedule.cpp
+++ b/src/yuccabeam/gateway/store_schedule.cpp
@@ -5,6 +5,10 @@
 
 namespace yuccabeam::gateway {
 
+time_point time_of_answer(planned_call const& call, time_point now) {
+    return now - call.started_at > call.timeout ? call.started_at : now;
+}
+
 bool& store_schedule::in_flight(store_call kind) {
     return kind == store_call::check ? check_in_flight_
                                      : list_or_watch_in_flight_;
@@ -16,7 +20,7 @@
                                                  time_point now) {
     if (check_due(now)) {
         check_in_flight_ = true;
-        return planned_call{store_call::check, false, {}, check_timeout()};
+        return planned_call{store_call::check, false, {}, check_timeout(), now};
     }
     if (list_or_watch_in_flight_ || now < next_call_)
         return std::nullopt;
@@ -29,9 +33,11 @@
         return planned_call{store_call::list,
                             std::exchange(next_listing_stale_, false),
                             {},
-                            options_.list_timeout};
+                            options_.list_timeout,
+                            now};
     return planned_call{store_call::watch, false, options_.watch_wait,
-                        options_.watch_wait + options_.watch_timeout_margin};
+                        options_.watch_wait + options_.watch_timeout_margin,
+                        now};
 }
 
 bool store_schedule::check_due(time_point now) const {
@@ -50,7 +56,7 @@
     in_flight(call.kind) = false;
     consecutive_failures_ = 0;
     if (!call.may_be_stale)
-        on_confirmed(now);
+        on_confirmed(time_of_answer(call, now));
     if (call.kind == store_call::list)
         listing_due_ = false;
     if (call.kind != store_call::watch)
--- a/src/yuccabeam/gateway/store_schedule_test.cpp
+++ b/src/yuccabeam/gateway/store_schedule_test.cpp
@@ -52,6 +52,31 @@
     }
 }
 
+// Guards against a paused process that takes what waited in its sockets for
+// new.
+TEST_CASE("an answer that is read after its call's timeout confirms the copy "
+          "as of the start of the call") {
+    store_schedule_options const options;
+    struct row {
+        char const* guards;
+        duration read_after;
+        duration confirmed_after;
+    };
+    row const rows[] = {
+        {"an answer in time", 600ms, 600ms},
+        {"an answer that waited during a pause", 5s, 0s},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(std::string(row.guards));
+        auto schedule = copied_schedule();
+        auto const asked = start + 100ms;
+        auto const call = schedule.next(true, asked);
+        REQUIRE(call);
+        schedule.on_answer(*call, false, asked + row.read_after);
+        CHECK(schedule.confirmed_at() == asked + row.confirmed_after);
+    }
+}
+
 // Guards against daemons that call the store without a pause during an outage,
 // and against a fixed short timeout that a slow store can never meet.
 TEST_CASE("failed checks are retried with backoff and longer timeouts") {
@@ -72,7 +97,7 @@
     CHECK(timeout == options.list_timeout);
     CHECK(calls <= 25);
     CHECK(schedule.last_call_failed());
-    schedule.on_answer({store_call::check}, false, now);
+    schedule.on_answer({store_call::check, false, {}, 1s, now}, false, now);
     CHECK_FALSE(schedule.last_call_failed());
 }
 
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -139,7 +139,7 @@
                           client_result const& response, std::uint64_t after) {
     if (status == store_status::history_gone) {
         log_.write("store_history_gone", {{"after", std::to_string(after)}});
-        on_answer();
+        on_answer(plan);
         schedule_.on_history_gone(plan.kind);
         return;
     }
@@ -170,18 +170,18 @@
         log_.write("store_regained",
                    {{"revision", std::to_string(mirror_.revision())}});
     changed_after_ = schedule_.confirmed_at();
-    on_answer();
+    on_answer(plan);
     schedule_.on_answer(plan, has_changes, boot_now());
 }
 
-void store_sync::on_answer() {
-    auto const now = boot_now();
+void store_sync::on_answer(planned_call const& plan) {
+    auto const at = time_of_answer(plan, boot_now());
     auto const before = availability_.period();
-    availability_.on_answer(now);
+    availability_.on_answer(at);
     if (before && availability_.period()->since > before->until)
         log_.write("store_returned",
                    {{"outage_ms",
-                     std::to_string(to_milliseconds(now - before->until))}});
+                     std::to_string(to_milliseconds(at - before->until))}});
 }
 
 void store_sync::fail(planned_call const& plan, store_status status,
