Remember a rest when a target's entry lapses and returns

Cause: what a target had said of itself was kept beside the table for a target that leaves, but not for one that rests. Change: both words are remembered as one value for the incarnation. Test: two rows of "the word of a target holds for its incarnation"; the row of the rest failed before.

--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -469,14 +469,21 @@
     void apply_success(record& entry, time_point now);
     void apply_failure(record& entry, time_point now);
     bool mark_leaving(record& entry, time_point now);
+    void set_availability(record& entry, placement::availability const& asked,
+                          time_point now);
 
     failure_domain_id own_domain_;
     target_table_options options_;
     std::mt19937_64 random_;
     std::map<target_id, record> records_;
-    /// Incarnations that have said that they leave: an entry that lapses and
-    /// returns is still leaving.
-    std::map<target_id, std::pair<std::int64_t, time_point>> leaving_;
+    struct remembered_availability {
+        std::int64_t started_ms = 0; ///< incarnation that has asked for it
+        placement::availability availability;
+        time_point at{};
+    };
+    /// What targets have asked for also holds when their entry lapses and
+    /// returns.
+    std::map<target_id, remembered_availability> asked_for_;
     std::unordered_map<std::uint64_t, record*> by_key_;
     std::map<service_id, std::vector<record*>> by_service_;
     bool any_vanished_ = false;
--- a/src/yuccabeam/placement/availability_test.cpp
+++ b/src/yuccabeam/placement/availability_test.cpp
@@ -179,23 +179,29 @@
 TEST_CASE("the word of a target holds for its incarnation") {
     struct row {
         char const* guards;
+        word said;
         std::int64_t listed_later; ///< incarnation, after a lapse
         bool used;
     };
     std::vector<row> const rows = {
-        {"an entry that lapses and returns is still leaving", process_start,
-         false},
-        {"a new process at the address isn't leaving", process_start + 1, true},
+        {"an entry that lapses and returns is still leaving", word::leaves,
+         process_start, false},
+        {"a new process at the address isn't leaving", word::leaves,
+         process_start + 1, true},
+        {"an entry that lapses and returns still rests", word::rests,
+         process_start, false},
+        {"a new process at the address doesn't rest", word::rests,
+         process_start + 1, true},
     };
     for (auto const& row : rows) {
         CAPTURE(row.guards);
         fixture f({"t0"});
-        say(f.table, word::leaves, "t0");
+        say(f.table, row.said, "t0");
         f.table.replace({}, start + 5s);
         f.table.expire(start + 10s);
         REQUIRE(f.table.size() == 0);
-        f.table.replace({listed("t0", row.listed_later)}, start + 20s);
-        CHECK(f.choice_at(start + 30s, false).has_value() == row.used);
+        f.table.replace({listed("t0", row.listed_later)}, start + 12s);
+        CHECK(f.choice_at(start + 15s, false).has_value() == row.used);
     }
 }
 
--- a/src/yuccabeam/placement/target_listing.cpp
+++ b/src/yuccabeam/placement/target_listing.cpp
@@ -131,11 +131,12 @@
         entry.estimate = prior_estimate(options_.estimate, now);
         entry.last_request = now;
         entry.listed_since = now;
-        auto const left = leaving_.find(info.target.id);
-        if (left != leaving_.end() && left->second.first == info.started_ms)
-            entry.availability.leaving_since = left->second.second;
-        else if (left != leaving_.end())
-            leaving_.erase(left);
+        auto const asked = asked_for_.find(info.target.id);
+        if (asked != asked_for_.end() &&
+            asked->second.started_ms == info.started_ms)
+            entry.availability = asked->second.availability;
+        else if (asked != asked_for_.end())
+            asked_for_.erase(asked);
     }
     bool const was_leaving = entry.info.leaving;
     bool const returned = entry.vanished_at.has_value();
--- a/src/yuccabeam/placement/target_words.cpp
+++ b/src/yuccabeam/placement/target_words.cpp
@@ -5,15 +5,23 @@
 
 namespace yuccabeam::placement {
 
+void target_table::set_availability(record& entry,
+                                    placement::availability const& asked,
+                                    time_point now) {
+    constexpr duration remembered = std::chrono::hours(1);
+    std::erase_if(asked_for_, [&](auto const& item) {
+        return now - item.second.at > remembered;
+    });
+    entry.availability = asked;
+    asked_for_[entry.info.target.id] = {entry.info.started_ms, asked, now};
+}
+
 bool target_table::mark_leaving(record& entry, time_point now) {
     if (entry.availability.leaving_since)
         return false;
-    entry.availability.leaving_since = now;
-    constexpr duration remembered = std::chrono::hours(1);
-    std::erase_if(leaving_, [&](auto const& item) {
-        return now - item.second.second > remembered;
-    });
-    leaving_[entry.info.target.id] = {entry.info.started_ms, now};
+    auto asked = entry.availability;
+    asked.leaving_since = now;
+    set_availability(entry, asked, now);
     return true;
 }
 
@@ -33,10 +41,12 @@
     auto* entry = find(id);
     if (!entry || started < entry->listed_since)
         return;
-    entry->availability =
+    set_availability(
+        *entry,
         after_rest_asked(entry->availability, rest,
                          std::uniform_real_distribution<double>(0, 1)(random_),
-                         options_.availability, now);
+                         options_.availability, now),
+        now);
 }
 
 std::optional<time_point> target_table::rest_end(service_id const& service,
