--- a/src/yuccabeam/gateway/daemon_gauges.cpp
+++ b/src/yuccabeam/gateway/daemon_gauges.cpp
@@ -17,6 +17,9 @@
         {"store_calls", static_cast<double>(calls.calls)},
         {"store_checks", static_cast<double>(calls.checks)},
         {"store_copy_age_seconds", to_seconds(from.store.copy_age(now))},
+        {"store_available_seconds",
+         to_seconds(now -
+                    from.store.availability().returned_at(now).value_or(now))},
         {"store_call_failures", static_cast<double>(calls.failures)},
         {"peer_pulls", static_cast<double>(calls.pulls)},
         {"peer_pull_failures", static_cast<double>(calls.pull_failures)},
--- a/src/yuccabeam/gateway/store_availability.cpp
+++ b/src/yuccabeam/gateway/store_availability.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// An entry that was written just before an outage expires after three
-// intervals, one that was due to be written after two. The answers known to a
-// daemon are up to half an interval younger than they seem.
+// An entry that was due to be written as an outage began expires two intervals
+// later. The margin covers a last answer that is older than it seems.
 constexpr double shortest_outage_intervals = 1.5;
 // Without an outage a daemon may hear of no answer for this long, see the sum
 // in decision 0011.
