Keep the later times of the test of a leaving target's lapse

Cause: reading the change again showed that the rows on rests had shortened the lapse in the rows on leaving, from a return 20 s after the word to 12 s, and the simulation's first revision stood in two places. Change: each row has its own times, those of leaving as before; the removal test takes the revision from the simulation.

--- a/src/yuccabeam/gateway/store_fleet_simulation.hpp
+++ b/src/yuccabeam/gateway/store_fleet_simulation.hpp
@@ -34,6 +34,7 @@
     static constexpr std::size_t domains = 3;
     static constexpr std::size_t daemons_per_domain = 11;
     static constexpr std::size_t daemons = domains * daemons_per_domain;
+    static constexpr std::uint64_t first_revision = 7;
 
     /// A daemon's copy of the store has changed.
     struct update {
@@ -89,7 +90,6 @@
     static constexpr duration store_latency = std::chrono::milliseconds(10);
     /// The same as in gateway_daemon.
     static constexpr duration pull_delay = std::chrono::milliseconds(60);
-    static constexpr std::uint64_t first_revision = 7;
 
     struct node {
         std::size_t number;
--- a/src/yuccabeam/gateway/store_removal_test.cpp
+++ b/src/yuccabeam/gateway/store_removal_test.cpp
@@ -48,7 +48,7 @@
             tables_.push_back(std::make_unique<placement::target_table>(
                 failure_domain_id{"a"}, d));
         simulation_.on_update = [this](simulation::update const& update) {
-            constexpr std::uint64_t first = 7;
+            constexpr auto first = simulation::first_revision;
             if (update.to > first && !told_.contains(update.daemon))
                 told_[update.daemon] = update.now - simulation::start;
             tables_[update.daemon]->replace(
--- a/src/yuccabeam/placement/availability_test.cpp
+++ b/src/yuccabeam/placement/availability_test.cpp
@@ -181,17 +181,19 @@
         char const* guards;
         word said;
         std::int64_t listed_later; ///< incarnation, after a lapse
+        duration returns;          ///< after the target's word
+        duration asked;
         bool used;
     };
     std::vector<row> const rows = {
         {"an entry that lapses and returns is still leaving", word::leaves,
-         process_start, false},
+         process_start, 20s, 30s, false},
         {"a new process at the address isn't leaving", word::leaves,
-         process_start + 1, true},
+         process_start + 1, 20s, 30s, true},
         {"an entry that lapses and returns still rests", word::rests,
-         process_start, false},
+         process_start, 12s, 15s, false},
         {"a new process at the address doesn't rest", word::rests,
-         process_start + 1, true},
+         process_start + 1, 12s, 15s, true},
     };
     for (auto const& row : rows) {
         CAPTURE(row.guards);
@@ -200,8 +202,8 @@
         f.table.replace({}, start + 5s);
         f.table.expire(start + 10s);
         REQUIRE(f.table.size() == 0);
-        f.table.replace({listed("t0", row.listed_later)}, start + 12s);
-        CHECK(f.choice_at(start + 15s, false).has_value() == row.used);
+        f.table.replace({listed("t0", row.listed_later)}, start + row.returns);
+        CHECK(f.choice_at(start + row.asked, false).has_value() == row.used);
     }
 }
 
