--- a/include/yuccabeam/gateway/exchange.hpp
+++ b/include/yuccabeam/gateway/exchange.hpp
@@ -6,6 +6,7 @@
 #include "yuccabeam/http1/server.hpp"
 #include "yuccabeam/placement/request_dispatch.hpp"
 #include "yuccabeam/telemetry/event_log.hpp"
+#include "yuccabeam/values/traffic.hpp"
 
 #include <asio/any_io_executor.hpp>
 #include <functional>
@@ -44,6 +45,8 @@
     http1::responder_ptr responder;
     yuccabeam::route route;
     revision policy_revision = 0;
+    /// The client account of the request's key, if it has one.
+    std::shared_ptr<client_account const> account{};
 };
 
 /// The request's id from its header, or an empty string.
--- a/include/yuccabeam/values/rules.hpp
+++ b/include/yuccabeam/values/rules.hpp
@@ -58,6 +58,8 @@
     /// classes.
     std::uint32_t rank = 1;
     bool large_answers = false; ///< large responses, such as downloads
+    bool large_requests = false; ///< large request bodies, such as uploads
+    bool anonymous = false;      ///< serves requests without an account
 
     auto operator<=>(route const&) const = default;
 };
--- a/include/yuccabeam/values/traffic.hpp
+++ b/include/yuccabeam/values/traffic.hpp
@@ -23,11 +23,26 @@
     bool operator==(request_limits const&) const = default;
 };
 
-/// An accepted configuration of routes and request limits.
+/// A client account that authenticates its requests with keys.
+struct client_account {
+    account_id id;
+    /// Priority of its requests, 0 is the highest; takes precedence over the
+    /// route's.
+    std::optional<std::uint32_t> rank;
+    double rate = 0;  ///< quota of the fleet in requests per second; 0: none
+    double burst = 0; ///< requests that the quota allows at once in addition
+
+    bool operator==(client_account const&) const = default;
+};
+
+/// An accepted configuration of routes, client accounts and request limits.
 struct traffic_policy {
     yuccabeam::revision revision = 0;
     std::vector<route> routes;
     request_limits limits;
+    /// Requests need the key of an account, except on anonymous routes.
+    bool requires_account = false;
+    std::vector<client_account> accounts;
 
     bool operator==(traffic_policy const&) const = default;
 };
