Order revisions of the store by its era

A store that comes back from an older copy gives out its revisions again. The copies of the daemons then kept what the store had lost and missed what it gave the same revisions to; leases whose ids were given out again seemed to be held.

The era, which each answer names, now forms the upper bits of every revision that the product sees, so that all comparisons order the two together. A watch that is answered in a newer era leads to a listing, an answer of an older one is no answer, and a new era drops the lease of the daemon's registration. What is missing in the returned store is judged like entries that expired in an outage, and a target that has said that it leaves stays leaving when an older entry of the same incarnation returns.

Tests with a scripted store: a revision given out again, 410, late answers and peers' copies of the older era.

--- a/include/yuccabeam/gateway/formats.hpp
+++ b/include/yuccabeam/gateway/formats.hpp
@@ -24,6 +24,8 @@
     std::string response_signature; ///< the target's signature of its response
     /// The target says with the value 1 that it leaves. Not read if empty.
     std::string leaving{};
+    /// The client account of a request, for the target. Not sent if empty.
+    std::string account{};
 };
 
 /// Result of one call to the store, derived from its transport and HTTP status.
@@ -64,6 +66,9 @@
     std::function<http1::client_request(std::uint64_t lease)> revoke_lease;
     std::function<http1::client_request(store_write const& write)> put;
     std::function<store_status(http1::client_result const&)> status;
+    /// The era that a response names, 0 if it names none, and empty if the
+    /// field can't be read. Without this function the store has no eras.
+    std::function<std::optional<std::uint64_t>(http1::message_head const&)> era;
 };
 
 /// Keys of the store and the parsers of their values.
--- a/include/yuccabeam/gateway/store_availability.hpp
+++ b/include/yuccabeam/gateway/store_availability.hpp
@@ -48,11 +48,15 @@
 
     /// The store answered this daemon.
     void on_answer(time_point now) { on_period({now, now}); }
+    /// The store came back from an older copy of itself, as seen at `now`.
+    /// Entries that are missing then may be written again by live targets.
+    void on_restored(time_point now) { restored_at_ = now; }
     /// The store was available in a period known to this daemon or a peer.
     void on_period(available_period const& period);
 
     std::optional<available_period> const& period() const { return period_; }
-    /// The store's first answer after its last outage, or the first one known.
+    /// The store's first answer after its last outage, or the first one known;
+    /// the time of its last return from a copy if that is later.
     /// Without an answer for `shortest_outage` before `now` an outage has just
     /// ended, for a change of the store that arrives now.
     std::optional<time_point> returned_at(time_point now) const;
@@ -60,6 +64,7 @@
 private:
     duration shortest_outage_;
     std::optional<available_period> period_;
+    std::optional<time_point> restored_at_;
 };
 
 } // namespace yuccabeam::gateway
--- a/include/yuccabeam/gateway/store_sync.hpp
+++ b/include/yuccabeam/gateway/store_sync.hpp
@@ -101,6 +101,8 @@
     void on_answer(planned_call const& plan);
     void fail(planned_call const& plan, store_status status,
               http1::client_result const& response);
+    std::uint64_t era_of(http1::client_result const& response) const;
+    void on_era(std::uint64_t era, time_point now);
     void maintain_entry(time_point now);
     void register_entry();
     void put_entry();
@@ -127,6 +129,8 @@
     bool withdrawn_ = false;
     std::uint64_t lease_ = 0;
     bool entry_written_ = false;
+    /// The newest era of the store that an answer or a copy has shown.
+    std::uint64_t era_ = 0;
     time_point next_entry_call_{};
 };
 
--- a/src/yuccabeam/gateway/store_availability.cpp
+++ b/src/yuccabeam/gateway/store_availability.cpp
@@ -52,8 +52,10 @@
 std::optional<time_point>
 store_availability::returned_at(time_point now) const {
     if (!period_)
-        return std::nullopt;
-    return now - period_->until >= shortest_outage_ ? now : period_->since;
+        return restored_at_;
+    auto const since =
+        now - period_->until >= shortest_outage_ ? now : period_->since;
+    return restored_at_ ? std::max(since, *restored_at_) : since;
 }
 
 } // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/gateway/peer_message.hpp"
+#include "yuccabeam/mirror/store_era.hpp"
 
 #include <algorithm>
 
@@ -79,10 +80,35 @@
                   [self = shared_from_this(),
                    handler = std::move(handler)](client_result result) {
                       auto const status = self->format_.status(result);
+                      if (status != store_status::failed)
+                          self->on_era(self->era_of(result), boot_now());
                       handler(status, std::move(result));
                   });
 }
 
+std::uint64_t store_sync::era_of(client_result const& response) const {
+    if (!format_.era)
+        return 0;
+    // An era that can't be read is none that this daemon could compare.
+    return format_.era(response.head).value_or(mirror::max_store_era + 1);
+}
+
+// The store has lost what this daemon wrote last, and may have given the id of
+// its lease to another one.
+void store_sync::on_era(std::uint64_t era, time_point now) {
+    if (era <= era_ || era > mirror::max_store_era)
+        return;
+    auto const before = std::exchange(era_, era);
+    if (!loaded() || era <= mirror::era_of(mirror_.revision()))
+        return;
+    log_.write("store_restored", {{"era", std::to_string(era)},
+                                  {"before", std::to_string(before)}});
+    availability_.on_restored(now);
+    lease_ = 0;
+    entry_written_ = false;
+    next_entry_call_ = now + options_.schedule.check_delay;
+}
+
 void store_sync::list(planned_call const& plan, std::string after) {
     ++counters_.listings;
     call(format_.list("", after, plan.may_be_stale), plan.timeout,
@@ -97,14 +123,17 @@
 void store_sync::on_page(planned_call const& plan,
                          client_result const& response) {
     auto page = format_.read_page(response.body);
-    if (!page) {
+    auto const era = era_of(response);
+    bool const first = listing_revision_ == 0;
+    // Pages of two eras are no listing of either.
+    if (!page || !mirror::set_era(*page, era) ||
+        (!first && mirror::era_of(listing_revision_) != era)) {
         fail(plan, store_status::failed, response);
         return;
     }
     // The pages of a stale listing may come from states of different age.
-    listing_revision_ = listing_revision_ == 0
-                            ? page->revision
-                            : std::min(listing_revision_, page->revision);
+    listing_revision_ =
+        first ? page->revision : std::min(listing_revision_, page->revision);
     auto const last = page->items.empty() ? "" : page->items.back().key;
     std::ranges::move(page->items, std::back_inserter(listed_));
     if (page->more && !last.empty()) {
@@ -123,7 +152,7 @@
 
 void store_sync::watch(planned_call const& plan) {
     auto const after = mirror_.revision();
-    auto request = format_.watch("", after, plan.wait);
+    auto request = format_.watch("", mirror::store_number_of(after), plan.wait);
     // A pooled connection may be the one that receives no data any more.
     if (plan.kind == store_call::check) {
         ++counters_.checks;
@@ -146,10 +175,18 @@
     auto changes = status == store_status::ok
                        ? format_.read_changes(response.body)
                        : std::nullopt;
-    if (!changes) {
+    auto const era = era_of(response);
+    if (!changes || !mirror::set_era(*changes, era) ||
+        era < mirror::era_of(after)) {
         fail(plan, status, response);
         return;
     }
+    // The number may exist in both eras, with other changes before it.
+    if (era > mirror::era_of(after)) {
+        on_answer(plan);
+        schedule_.on_history_gone(plan.kind);
+        return;
+    }
     bool const has_changes = !changes->events.empty();
     if (plan.kind == store_call::check)
         log_.write("store_checked",
@@ -200,6 +237,7 @@
 bool store_sync::apply_peer_changes(mirror::store_changes const& changes) {
     if (changes.revision <= mirror_.revision())
         return true;
+    on_era(mirror::era_of(changes.revision), boot_now());
     if (!mirror_.apply(changes))
         return false;
     schedule_.on_peer_changes();
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -2,6 +2,7 @@
 
 #include "../http1/scripted_peer.hpp"
 #include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/mirror/store_era.hpp"
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
@@ -32,6 +33,11 @@
     };
     out.grant_lease = [](auto) { return http1::client_request{}; };
     out.read_lease = [](auto const&) { return std::nullopt; };
+    out.era = [](http1::message_head const& head) {
+        auto const era = http1::field_value(head.fields, "Era");
+        return std::optional<std::uint64_t>(
+            era.empty() ? 0 : std::stoull(std::string(era)));
+    };
     out.status = [](http1::client_result const& result) {
         if (result.status != http1::client_status::complete)
             return store_status::failed;
@@ -47,6 +53,17 @@
            text;
 }
 
+std::string body_in_era(int era, std::string const& text,
+                        std::string const& status = "200") {
+    auto out = body(text, status);
+    return out.insert(out.find("\r\n") + 2,
+                      "Era: " + std::to_string(era) + "\r\n");
+}
+
+constexpr std::uint64_t revision_in(std::uint64_t era, std::uint64_t number) {
+    return (era << mirror::store_number_bits) | number;
+}
+
 struct fixture {
     asio::io_context context;
     asio::steady_timer ticker{context};
@@ -155,3 +172,46 @@
     CHECK(f.sync->counters().checks == 1);
     CHECK(f.sync->copy_age(adapters::boot_now()) < std::chrono::hours(1));
 }
+
+// Guards against a copy that keeps what a restored store has lost, or lacks
+// what the store has given the same revisions to.
+TEST_CASE("the store is listed again when it comes back from an older copy") {
+    struct row {
+        char const* guards;
+        std::string answer; ///< to the watch after revision 9 of era 1
+    };
+    row const rows[] = {
+        {"a revision that the store has given out again",
+         body_in_era(2, "12 x")},
+        {"a revision that the store doesn't have", body_in_era(2, "", "410")},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(std::string(row.guards));
+        fixture f(
+            {{body_in_era(1, "9 a")}, {row.answer}, {body_in_era(2, "7 b")}});
+        REQUIRE(f.reaches(revision_in(2, 7)));
+        CHECK(f.sync->mirror().revision() == revision_in(2, 7));
+        CHECK(f.sync->mirror().find("a") == nullptr);
+        CHECK(f.sync->mirror().find("x") == nullptr);
+        CHECK(f.sync->counters().listings == 2);
+        // What the targets wrote meanwhile is missing until they write again.
+        auto const now = adapters::boot_now();
+        auto const returned = f.sync->availability().returned_at(now);
+        REQUIRE(returned);
+        CHECK(now - *returned < std::chrono::seconds(10));
+    }
+}
+
+// Guards against the state before a return that arrives late.
+TEST_CASE("an answer of an older era is not applied") {
+    fixture f({{body_in_era(2, "3 a")},
+               {body_in_era(1, "9 z")},
+               {body_in_era(2, "4 b")}});
+    REQUIRE(f.reaches(revision_in(2, 4)));
+    CHECK(f.sync->mirror().find("z") == nullptr);
+    CHECK(f.sync->mirror().find("a") != nullptr);
+    CHECK(f.sync->counters().failures == 1);
+    CHECK(f.sync->apply_peer_changes(
+        {0, revision_in(1, 50), {{{"y", "v", revision_in(1, 50)}, false}}}));
+    CHECK(f.sync->mirror().find("y") == nullptr);
+}
--- a/src/yuccabeam/placement/target_listing.cpp
+++ b/src/yuccabeam/placement/target_listing.cpp
@@ -142,6 +142,10 @@
     bool const returned = entry.vanished_at.has_value();
     if (entry.info != info)
         entry.info = info;
+    // An older entry may return with an older copy of the store.
+    entry.info.leaving =
+        entry.info.leaving ||
+        (same_incarnation && was_leaving && info.started_ms != 0);
     entry.listing = listing_;
     entry.vanished_at.reset();
     entry.warm_at = now + info.warm_up_left;
