Add the pools of quotas and their messages

Each daemon owns an equal share of every quota and lends it to one pool at a time; a pool has token buckets that earn and hold the quota times the shares lent to it, so the sum over all pools never exceeds the quota, whatever each daemon knows of the others (docs/design/quota.md). quota_service connects pool, lender and waiting requests by three messages between daemons and has neither sockets nor a clock. Nothing uses it yet.

--- a/include/yuccabeam/gateway/peer_link.hpp
+++ b/include/yuccabeam/gateway/peer_link.hpp
@@ -45,6 +45,9 @@
         on_credit_request;
     std::function<void(credit_grant_message const&)> on_credit_grant;
     std::function<void(codec::message_fault)> on_rejected;
+    std::function<void(quota_request_message const&)> on_quota_request{};
+    std::function<void(quota_grant_message const&)> on_quota_grant{};
+    std::function<void(quota_release_message const&)> on_quota_release{};
 };
 
 /// Numbers of datagrams by kind of message, indexed like `peer_message`.
@@ -83,6 +86,8 @@
     void broadcast(placement::target_notice const& notice, time_point now);
     void request_credit(service_id const& service,
                         placement::addressed_credit_request const& due);
+    /// Sends a message of the quotas, which have no way through relays.
+    void send(peer_message const& message, std::string const& address);
     /// Reports this daemon's requests in flight at a target to its failure
     /// domain: immediately, or batched while the previous report is recent.
     void report_activity(placement::target_activity const& activity,
@@ -105,7 +110,6 @@
 
     void send(peer_message const& message,
               std::vector<std::string> const& addresses);
-    void send(peer_message const& message, std::string const& address);
 
     heartbeat own_heartbeat();
     void send_heartbeats(std::vector<std::string> const& addresses);
@@ -133,6 +137,9 @@
     void handle(domain_load_message const& message, time_point now);
     void handle(credit_request_message const& message, time_point now);
     void handle(credit_grant_message const& message, time_point now);
+    void handle(quota_request_message const& message, time_point now);
+    void handle(quota_grant_message const& message, time_point now);
+    void handle(quota_release_message const& message, time_point now);
 
     peer_link_options options_;
     placement::target_table& targets_;
--- a/include/yuccabeam/gateway/peer_message.hpp
+++ b/include/yuccabeam/gateway/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccabeam/codec/message_fault.hpp"
+#include "yuccabeam/limits/quota_pool.hpp"
 #include "yuccabeam/mirror/store_mirror.hpp"
 #include "yuccabeam/placement/fleet_budget.hpp"
 #include "yuccabeam/placement/target_table.hpp"
@@ -140,17 +141,47 @@
     bool operator==(credit_grant_message const&) const = default;
 };
 
-using peer_message =
-    std::variant<heartbeat, target_notice_message, change_message,
-                 activity_message, domain_activity_message,
-                 credit_request_message, credit_grant_message,
-                 load_report_message, domain_load_message>;
+/// Lends shares of quotas to the receiver, and asks it for one request of an
+/// account if one is named.
+struct quota_request_message {
+    daemon_id sender;
+    std::uint64_t number = 0;
+    limits::quota_loan loan;
+    account_id account; ///< empty: only the loan
+
+    bool operator==(quota_request_message const&) const = default;
+};
+
+/// The answer to a `quota_request_message`.
+struct quota_grant_message {
+    daemon_id sender;
+    std::uint64_t number = 0; ///< of the request
+    bool granted = false;
+    bool decided = false;
+    std::chrono::milliseconds retry_after{};
+
+    bool operator==(quota_grant_message const&) const = default;
+};
+
+/// The sender grants nothing any more, so that its loans may be used again.
+struct quota_release_message {
+    daemon_id sender;
+
+    bool operator==(quota_release_message const&) const = default;
+};
+
+using peer_message = std::variant<
+    heartbeat, target_notice_message, change_message, activity_message,
+    domain_activity_message, credit_request_message, credit_grant_message,
+    load_report_message, domain_load_message, quota_request_message,
+    quota_grant_message, quota_release_message>;
 
 /// Names of the alternatives of `peer_message`, for metrics.
 inline constexpr std::array<std::string_view, std::variant_size_v<peer_message>>
-    peer_message_names = {"heartbeat",    "target_notice",   "change",
-                          "activity",     "domain_activity", "credit_request",
-                          "credit_grant", "load_report",     "domain_load"};
+    peer_message_names = {"heartbeat",     "target_notice",   "change",
+                          "activity",      "domain_activity", "credit_request",
+                          "credit_grant",  "load_report",     "domain_load",
+                          "quota_request", "quota_grant",     "quota_release"};
 
 std::vector<std::uint8_t> encode(peer_message const& message);
 
--- a/include/yuccabeam/gateway/peer_table.hpp
+++ b/include/yuccabeam/gateway/peer_table.hpp
@@ -85,6 +85,8 @@
     std::vector<std::string> live_same_domain_addresses(time_point now) const;
     /// The same with what decides which of them becomes the relay.
     std::vector<relay_candidate> relay_candidates(time_point now) const;
+    /// The live daemons of all failure domains with their processor shares.
+    std::vector<relay_candidate> live_daemons(time_point now) const;
     /// The daemon of each other failure domain that is probably its relay.
     std::map<failure_domain_id, std::string>
     other_domain_relays(time_point now) const;
--- a/src/yuccabeam/gateway/message_fields.hpp
+++ b/src/yuccabeam/gateway/message_fields.hpp
@@ -178,4 +178,34 @@
     archive.record(value.sender, value.loads);
 }
 
+template <class Archive, record_of<limits::quota_loan> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.incarnation, value.slots, value.share, value.unused);
+    if constexpr (!std::is_const_v<T>)
+        if (!(value.share >= 0 && value.share <= 1))
+            archive.fail(message_fault::out_of_range);
+}
+
+template <class Archive, record_of<gateway::quota_request_message> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.sender, value.number, value.loan, value.account);
+}
+
+template <class Archive, record_of<gateway::quota_grant_message> T>
+void describe(Archive& archive, T& value) {
+    std::int64_t retry_after_ms = value.retry_after.count();
+    archive.record(value.sender, value.number, value.granted, value.decided,
+                   retry_after_ms);
+    if constexpr (!std::is_const_v<T>) {
+        value.retry_after = std::chrono::milliseconds(retry_after_ms);
+        if (retry_after_ms < 0)
+            archive.fail(message_fault::out_of_range);
+    }
+}
+
+template <class Archive, record_of<gateway::quota_release_message> T>
+void describe(Archive& archive, T& value) {
+    archive.record(value.sender);
+}
+
 } // namespace yuccabeam::codec
--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -134,6 +134,23 @@
     callbacks_.on_credit_grant(message);
 }
 
+// --- quotas ------------------------------------------------------------------
+
+void peer_link::handle(quota_request_message const& message, time_point) {
+    if (callbacks_.on_quota_request)
+        callbacks_.on_quota_request(message);
+}
+
+void peer_link::handle(quota_grant_message const& message, time_point) {
+    if (callbacks_.on_quota_grant)
+        callbacks_.on_quota_grant(message);
+}
+
+void peer_link::handle(quota_release_message const& message, time_point) {
+    if (callbacks_.on_quota_release)
+        callbacks_.on_quota_release(message);
+}
+
 // --- changes of the store ----------------------------------------------------
 
 std::vector<std::string> peer_link::same_domain_and_samples(time_point now) {
--- a/src/yuccabeam/gateway/peer_table.cpp
+++ b/src/yuccabeam/gateway/peer_table.cpp
@@ -169,6 +169,14 @@
     return out;
 }
 
+std::vector<relay_candidate> peer_table::live_daemons(time_point now) const {
+    std::vector<relay_candidate> out;
+    for (auto const& [address, entry] : peers_)
+        if (is_live(entry, now))
+            out.push_back({address, entry.last_heartbeat.processor_percent});
+    return out;
+}
+
 std::map<failure_domain_id, std::string>
 peer_table::other_domain_relays(time_point now) const {
     std::map<failure_domain_id, relay_candidate> best;
