Authenticate requests by account and enforce the accounts' quotas

A configuration can name client accounts with keys, quotas and priorities, and routes that need none. The gateway knew nothing of them: each request ran, and its key reached the target.

Requests are authenticated from the configuration in force, at each attempt again, so that a removed key holds for requests that wait. The target gets the account's id, and neither the key nor what the caller claimed. An entry that can't be read is left out alone, with a line that names the field. Requests of an account with a quota wait for a token of its pool; beyond the quota they get 429 with Retry-After.

--- a/include/yuccabeam/gateway/active_policy.hpp
+++ b/include/yuccabeam/gateway/active_policy.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/gateway/account_table.hpp"
 #include "yuccabeam/gateway/counters.hpp"
 #include "yuccabeam/gateway/formats.hpp"
 #include "yuccabeam/routing/route_table.hpp"
@@ -24,6 +25,7 @@
     bool empty() const { return policy_.revision == 0; }
     traffic_policy const& policy() const { return policy_; }
     routing::route_table const& routes() const { return routes_; }
+    account_table const& accounts() const { return accounts_; }
     /// When the configuration came into force on this daemon.
     time_point applied_at() const { return applied_at_; }
 
@@ -36,6 +38,7 @@
     counters& counters_;
     traffic_policy policy_;
     routing::route_table routes_;
+    account_table accounts_;
     /// The store's revision of the last text that was read.
     std::uint64_t last_read_revision_ = 0;
     time_point applied_at_{};
--- a/include/yuccabeam/gateway/daemon_gauges.hpp
+++ b/include/yuccabeam/gateway/daemon_gauges.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/gateway/counters.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
+#include "yuccabeam/gateway/quota_service.hpp"
 #include "yuccabeam/gateway/store_sync.hpp"
 #include "yuccabeam/http1/client.hpp"
 #include "yuccabeam/http1/server.hpp"
@@ -23,5 +24,6 @@
 };
 
 void set_gauges(counters& out, gauge_sources const& from, time_point now);
+void set_quota_gauges(counters& out, quota_service& from, time_point now);
 
 } // namespace yuccabeam::gateway
--- a/include/yuccabeam/gateway/daemon_options.hpp
+++ b/include/yuccabeam/gateway/daemon_options.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/gateway/drain.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
+#include "yuccabeam/gateway/quota_service.hpp"
 #include "yuccabeam/gateway/settings.hpp"
 #include "yuccabeam/placement/retry_budget.hpp"
 #include "yuccabeam/placement/target_table.hpp"
@@ -21,6 +22,7 @@
 placement::retry_budget_options budget_options_of(settings const& settings);
 placement::initial_credit initial_credit_of(settings const& settings);
 peer_link_options peer_link_options_of(settings const& settings);
+quota_service_options quota_service_options_of(settings const& settings);
 drain_options drain_options_of(settings const& settings);
 /// Memory for the message bodies of all exchanges together; the rest is for
 /// the daemon's own state, heads and the kernel's buffers.
--- a/include/yuccabeam/gateway/exchange.hpp
+++ b/include/yuccabeam/gateway/exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/gateway/account_table.hpp"
 #include "yuccabeam/gateway/counters.hpp"
 #include "yuccabeam/gateway/formats.hpp"
 #include "yuccabeam/http1/client.hpp"
@@ -37,6 +38,8 @@
         publish_notice;
     /// Publishes this daemon's load at a target to its failure domain.
     std::function<void(placement::target_activity const&)> publish_activity;
+    /// The account that holds the key in the configuration in force, or null.
+    std::function<account_ptr(key_digest const&)> find_account{};
 };
 
 /// A caller's request and its route.
@@ -45,8 +48,11 @@
     http1::responder_ptr responder;
     yuccabeam::route route;
     revision policy_revision = 0;
-    /// The client account of the request's key, if it has one.
-    std::shared_ptr<client_account const> account{};
+    /// The configuration names accounts: the caller's credentials and what it
+    /// says about its account are not passed on.
+    bool hide_credentials = false;
+    account_ptr account{};           ///< of the request's key
+    std::optional<key_digest> key{}; ///< of the account
 };
 
 /// The request's id from its header, or an empty string.
--- a/include/yuccabeam/gateway/responses.hpp
+++ b/include/yuccabeam/gateway/responses.hpp
@@ -33,6 +33,16 @@
 http1::outgoing_response gateway_response(int status,
                                           std::string const& request_id,
                                           std::string_view reason);
+inline constexpr std::string_view unknown_key_reason = "unknown_key";
+/// A generated response with status 401: no account holds the request's key.
+http1::outgoing_response unknown_key_response(std::string const& request_id);
+
+/// A generated response with status 429 and Retry-After: the account has used
+/// its quota up, and the request was not run.
+http1::outgoing_response
+over_quota_response(std::string const& request_id,
+                    std::chrono::milliseconds retry_after);
+
 /// What a target says about itself in a response to a request.
 struct target_word {
     bool leaving = false;
--- a/include/yuccabeam/gateway/settings.hpp
+++ b/include/yuccabeam/gateway/settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccabeam/limits/quota.hpp"
 #include "yuccabeam/values/ids.hpp"
 #include "yuccabeam/values/json_reader.hpp"
 
@@ -37,9 +38,15 @@
     /// Time between two writes of a target that keep its entry in the store.
     /// The entry expires after three of them without a write.
     std::chrono::milliseconds target_heartbeat{1'500};
+    /// Turns requests with keys away while the copy of the configuration wasn't
+    /// confirmed for `revocation_limit`, as a key may have been removed.
+    bool strict_revocation = false;
+    std::chrono::milliseconds revocation_limit{5'000};
     /// The whole fleet starts for the first time. It has sent no retries yet,
     /// so its daemons start with full retry credit.
     bool new_fleet = false;
+    /// What the fleet may run beyond the quota of a client account.
+    limits::quota_bound quota;
     double repeat_ratio = 0.2; ///< retries allowed per request
     /// Retries that the whole fleet may send per window in addition.
     double repeat_slack = 50;
--- a/include/yuccabeam/values/rules.hpp
+++ b/include/yuccabeam/values/rules.hpp
@@ -57,7 +57,7 @@
     /// Fine-grained priority, 0 is the highest; `priority` has only three
     /// classes.
     std::uint32_t rank = 1;
-    bool large_answers = false; ///< large responses, such as downloads
+    bool large_answers = false;  ///< large responses, such as downloads
     bool large_requests = false; ///< large request bodies, such as uploads
     bool anonymous = false;      ///< serves requests without an account
 
@@ -85,6 +85,9 @@
 ejection_policy parse_policy(json_reader& reader);
 rules parse_rules(json_reader& reader);
 
+/// The class of a fine-grained priority, of which 0 is the highest.
+priority priority_of_rank(std::uint32_t rank);
+
 std::string_view to_string(ejection_policy value);
 std::string_view to_string(priority value);
 std::string_view to_string(idempotence value);
--- a/include/yuccabeam/values/traffic.hpp
+++ b/include/yuccabeam/values/traffic.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccabeam/values/asset_register.hpp"
 #include "yuccabeam/values/ids.hpp"
+#include "yuccabeam/values/key_digest.hpp"
 #include "yuccabeam/values/rules.hpp"
 
 #include <chrono>
@@ -26,6 +27,7 @@
 /// A client account that authenticates its requests with keys.
 struct client_account {
     account_id id;
+    std::vector<key_digest> keys;
     /// Priority of its requests, 0 is the highest; takes precedence over the
     /// route's.
     std::optional<std::uint32_t> rank;
@@ -35,6 +37,14 @@
     bool operator==(client_account const&) const = default;
 };
 
+/// An entry of a configuration that can't be read.
+struct rejected_account {
+    std::string name;
+    std::string reason; ///< names the field, and shows no value of it
+
+    bool operator==(rejected_account const&) const = default;
+};
+
 /// An accepted configuration of routes, client accounts and request limits.
 struct traffic_policy {
     yuccabeam::revision revision = 0;
@@ -43,6 +53,8 @@
     /// Requests need the key of an account, except on anonymous routes.
     bool requires_account = false;
     std::vector<client_account> accounts;
+    /// Entries that were left out, as they can't be read.
+    std::vector<rejected_account> rejected;
 
     bool operator==(traffic_policy const&) const = default;
 };
--- a/src/yuccabeam/gateway/active_policy.cpp
+++ b/src/yuccabeam/gateway/active_policy.cpp
@@ -30,12 +30,22 @@
     auto const before = policy_.revision;
     policy_ = std::move(policy);
     routes_ = routing::route_table(policy_.routes);
+    accounts_ = account_table(policy_);
+    for (auto const& entry : policy_.rejected) {
+        counters_.count("accounts_rejected");
+        log_.write("account_rejected",
+                   {{"revision", std::to_string(policy_.revision)},
+                    {"account", entry.name},
+                    {"reason", entry.reason}});
+    }
+    counters_.set("accounts", static_cast<double>(accounts_.size()));
     counters_.count("policies_applied");
     counters_.set("policy_revision", static_cast<double>(policy_.revision));
     log_.write("policy_applied",
                {{"revision", std::to_string(policy_.revision)},
                 {"before", std::to_string(before)},
                 {"routes", std::to_string(policy_.routes.size())},
+                {"accounts", std::to_string(accounts_.size())},
                 {"store_revision", std::to_string(store_revision)}});
 }
 
--- a/src/yuccabeam/gateway/daemon_gauges.cpp
+++ b/src/yuccabeam/gateway/daemon_gauges.cpp
@@ -46,4 +46,19 @@
     }
 }
 
+void set_quota_gauges(counters& out, quota_service& from, time_point now) {
+    auto const& counts = from.counters();
+    std::pair<char const*, double> const gauges[] = {
+        {"quota_granted", static_cast<double>(counts.granted)},
+        {"quota_exceeded", static_cast<double>(counts.exceeded)},
+        {"quota_undecided", static_cast<double>(counts.undecided)},
+        {"quota_resent", static_cast<double>(counts.resent)},
+        {"quota_silent_pools", static_cast<double>(counts.silent_pools)},
+        {"quota_waiting", static_cast<double>(from.waiting())},
+        {"quota_slots_held", from.shares(now)},
+    };
+    for (auto const& [name, value] : gauges)
+        out.set(name, value);
+}
+
 } // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/daemon_options.cpp
+++ b/src/yuccabeam/gateway/daemon_options.cpp
@@ -48,6 +48,18 @@
     return out;
 }
 
+quota_service_options quota_service_options_of(settings const& settings) {
+    constexpr double percent = 100;
+    quota_service_options out;
+    out.address = settings.peers;
+    out.incarnation = new_incarnation();
+    out.processor_percent =
+        static_cast<std::uint32_t>(settings.processor_share * percent);
+    out.new_fleet = settings.new_fleet;
+    out.quota.bound = settings.quota;
+    return out;
+}
+
 drain_options drain_options_of(settings const& settings) {
     drain_options out;
     out.grace = settings.grace;
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -157,6 +157,10 @@
     }
 
     void send(std::size_t attempt) {
+        if (!key_is_valid()) {
+            end_without_key();
+            return;
+        }
         calls_.resize(attempt + 1);
         calls_[attempt] = dependencies_.targets.start(
             client_request(attempt),
@@ -200,19 +204,37 @@
         http1::http_fields out;
         for (auto& field :
              http1::end_to_end_fields(request_.request.head.fields))
-            if (!same_field_name(field.name,
-                                 dependencies_.headers.time_left_ms) &&
-                !same_field_name(field.name,
-                                 dependencies_.headers.expected_target) &&
-                !same_field_name(field.name, "Expect"))
+            if (!is_replaced(field.name))
                 out.push_back(std::move(field));
         out.push_back(
             {dependencies_.headers.time_left_ms,
              std::to_string(std::max<std::int64_t>(time_left().count(), 1))});
         out.push_back({dependencies_.headers.expected_target, to.id.value});
+        if (request_.account && !dependencies_.headers.account.empty())
+            out.push_back(
+                {dependencies_.headers.account, request_.account->id.value});
         return out;
     }
 
+    // Fields that the daemon sets itself or keeps from the target.
+    bool is_replaced(std::string_view name) const {
+        auto const& headers = dependencies_.headers;
+        bool const identity = request_.hide_credentials &&
+                              (same_field_name(name, "Authorization") ||
+                               same_field_name(name, headers.account));
+        return identity || same_field_name(name, headers.time_left_ms) ||
+               same_field_name(name, headers.expected_target) ||
+               same_field_name(name, "Expect");
+    }
+
+    // The key may have been removed while the request waited.
+    bool key_is_valid() const {
+        if (!request_.key || request_.route.anonymous)
+            return true;
+        auto const holder = dependencies_.find_account(*request_.key);
+        return holder && holder->id == request_.account->id;
+    }
+
     void set_check_timer() {
         auto const due = dispatch_.next_check();
         if (!due)
@@ -318,6 +340,17 @@
                 outcome);
     }
 
+    // Ends the request before an attempt, as its key has been removed.
+    void end_without_key() {
+        bool const ran = dispatch_.may_have_run() || dispatch_.running() > 1;
+        log_end(ran ? "unknown" : "not_run", unknown_key_reason);
+        execute(dispatch_.abandon(boot_now()));
+        if (ran)
+            finish(gateway_response(502, id_, unknown_key_reason), "unknown");
+        else
+            finish(unknown_key_response(id_), "not_run");
+    }
+
     // Counts the attempts that were in flight when the request ended without a
     // target's response.
     void count_abandoned_attempts() {
@@ -376,6 +409,7 @@
                 {"service", service_.value},
                 {"kind", std::string(kind_of(request_.route))},
                 {"policy", std::to_string(request_.policy_revision)},
+                {"account", request_.account ? request_.account->id.value : ""},
                 {"left_ms", std::to_string(time_left().count())}};
     }
 
--- a/src/yuccabeam/gateway/exchange_test.cpp
+++ b/src/yuccabeam/gateway/exchange_test.cpp
@@ -411,3 +411,72 @@
         CHECK(words == 2);
     }
 }
+
+// Guards against a key or a claimed account that reaches a target.
+TEST_CASE("a target gets the account of the key and never the key") {
+    struct row {
+        char const* guards;
+        bool accounts_in_use;
+        account_ptr account;
+        std::string expected; ///< account field of the target
+        bool passes_authorization;
+    };
+    auto const acme = std::make_shared<client_account const>(
+        client_account{{"acme"}, {digest_of("key")}, {}, 0, 0});
+    row const rows[] = {
+        {"an account", true, acme, "acme", false},
+        {"an anonymous request", true, nullptr, "", false},
+        {"no accounts", false, nullptr, "claimed", true},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(std::string(row.guards));
+        fixture f({{signed_response}}, 1);
+        f.names.account = "Account";
+        f.dependencies.find_account = [&](auto const&) { return row.account; };
+        routed_request request;
+        request.request.head.method = "POST";
+        request.request.head.target = "/x";
+        request.request.head.fields = {{"Host", "h"},
+                                       {"Id", "r1"},
+                                       {"Authorization", "Bearer key"},
+                                       {"account", "claimed"}};
+        request.request.first_byte = adapters::boot_now();
+        request.responder = f.caller;
+        request.route.service = {"svc"};
+        request.hide_credentials = row.accounts_in_use;
+        request.account = row.account;
+        if (row.account)
+            request.key = digest_of("key");
+        start_exchange(f.dependencies, std::move(request));
+        REQUIRE(http1::run_until(f.context,
+                                 [&] { return f.caller->sent.has_value(); }));
+        auto const text = f.first_request();
+        CHECK((text.find("Bearer") != std::string::npos) ==
+              row.passes_authorization);
+        CHECK((text.find("claimed") != std::string::npos) ==
+              row.passes_authorization);
+        CHECK((text.find("Account: acme\r\n") != std::string::npos) ==
+              (row.expected == "acme"));
+    }
+}
+
+// Guards against a request that runs with a key that was removed while it
+// waited.
+TEST_CASE("a request whose key is removed before its attempt gets 401 and "
+          "doesn't run") {
+    fixture f({{signed_response}}, 1);
+    f.dependencies.find_account = [](auto const&) { return nullptr; };
+    routed_request request;
+    request.request.head.method = "POST";
+    request.request.head.target = "/x";
+    request.request.head.fields = {{"Host", "h"}, {"Id", "r1"}};
+    request.request.first_byte = adapters::boot_now();
+    request.responder = f.caller;
+    request.route.service = {"svc"};
+    request.account = std::make_shared<client_account const>();
+    request.key = digest_of("key");
+    start_exchange(f.dependencies, std::move(request));
+    REQUIRE(f.caller->sent.has_value());
+    CHECK(f.caller->sent->status == 401);
+    CHECK(f.arrivals() == 0);
+}
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -16,6 +16,10 @@
 // some hundred milliseconds then measure this VM and not its targets.
 constexpr duration loop_delay_log_threshold = std::chrono::milliseconds(100);
 
+// A copy confirmed within this time is as current as that of a daemon in touch
+// with the store or with a peer that is, see decision 0011.
+constexpr duration current_copy_age = std::chrono::milliseconds(1'500);
+
 } // namespace
 
 using implementation = gateway_daemon::implementation;
@@ -35,10 +39,13 @@
       budgets(budget_options_of(settings), {settings.peers}, random(),
               boot_now(), initial_credit_of(settings)),
       peers(peer_link_options_of(settings), target_table, peer_callbacks()),
+      quotas(quota_service_options_of(settings), make_quota_callbacks(),
+             boot_now()),
       dependencies(make_exchange_dependencies()),
       ticker(context.get_executor()), policies(formats.content, log, counters),
-      router(dependencies, policies, [this] { return may_serve(boot_now()); }) {
-}
+      router(
+          dependencies, policies, [this] { return may_serve(boot_now()); },
+          make_key_checks(), &quotas) {}
 
 result<void> implementation::start() {
     store_sync_options options;
@@ -78,6 +85,7 @@
                               {},
                               {},
                               {},
+                              {},
                               {}};
     out.budget = [this](service_id const& id) { return &budgets.of(id).own(); };
     out.may_retry = [this](service_id const& id, time_point now) {
@@ -87,12 +95,45 @@
         [this](std::optional<placement::target_notice> const& notice,
                service_id const& service,
                bool retried) { publish_notice(notice, service, retried); };
+    out.find_account = [this](key_digest const& key) {
+        return policies.accounts().find(key);
+    };
     out.publish_activity = [this](placement::target_activity const& activity) {
         peers.report_activity(activity, boot_now());
     };
     return out;
 }
 
+key_checks implementation::make_key_checks() {
+    key_checks out;
+    out.copy_is_current = [this] {
+        return store->copy_age(boot_now()) <= current_copy_age;
+    };
+    out.accepts_keys = [this] {
+        return !settings.strict_revocation ||
+               store->copy_age(boot_now()) <= settings.revocation_limit;
+    };
+    return out;
+}
+
+quota_callbacks implementation::make_quota_callbacks() {
+    quota_callbacks out;
+    out.send = [this](peer_message const& message, std::string const& address) {
+        peers.send(message, address);
+    };
+    out.candidates = [this](time_point now) {
+        return peers.table().live_daemons(now);
+    };
+    out.quota_of =
+        [this](account_id const& id) -> std::optional<limits::quota> {
+        auto const account = policies.accounts().find(id);
+        if (!account)
+            return std::nullopt;
+        return limits::quota{account->rate, account->burst};
+    };
+    return out;
+}
+
 void implementation::answer_readiness(http1::incoming_request const& request,
                                       http1::responder_ptr const& caller) {
     bool const known = request.head.target == formats.readiness_path;
@@ -106,6 +147,7 @@
                             *memory},
                            boot_now());
                 usage.set_gauges(target_table, counters, boot_now());
+                set_quota_gauges(counters, quotas, boot_now());
             },
             counters, [this] { return state(boot_now()); },
             [this](std::uint64_t revision) { return changes_after(revision); }};
@@ -213,6 +255,8 @@
     target_table.expire(now);
     usage.on_tick(target_table, log, now);
     budgets.on_fleet_size(peers.table().known_count() + 1, now);
+    quotas.on_fleet_size(peers.table().known_count() + 1);
+    quotas.tick(now);
     update_fleet_rates(now);
     if (!stopping_since) {
         // Announced at once, so that peers take over watching the store.
@@ -244,6 +288,7 @@
               {{"active", std::to_string(callers->active())},
                {"connections", std::to_string(callers->connections())}});
     callers->announce_close();
+    quotas.release(now);
     peers.send_leaving(now);
     store->withdraw();
 }
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -7,6 +7,7 @@
 #include "yuccabeam/gateway/control_service.hpp"
 #include "yuccabeam/gateway/counters.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
+#include "yuccabeam/gateway/quota_service.hpp"
 #include "yuccabeam/gateway/request_router.hpp"
 #include "yuccabeam/gateway/service_budgets.hpp"
 #include "yuccabeam/gateway/serving_gate.hpp"
@@ -63,6 +64,8 @@
 
     // Requests.
     exchange_dependencies make_exchange_dependencies();
+    key_checks make_key_checks();
+    quota_callbacks make_quota_callbacks();
     void answer_readiness(http1::incoming_request const& request,
                           http1::responder_ptr const& caller);
 
@@ -97,6 +100,7 @@
     target_entries target_list;
     service_budgets budgets;
     peer_link peers;
+    quota_service quotas;
     std::unique_ptr<net::peer_transport> peer_transport;
     std::shared_ptr<store_sync> store;
     exchange_dependencies dependencies;
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -65,6 +65,7 @@
     if (policies.empty() && store->copy_age(now) >= unconfirmed_copy_age)
         gate.on_unconfirmed_copy(now);
     policies.update(store->mirror(), now);
+    quotas.set_active(policies.accounts().has_quotas());
     auto const& content = formats.content;
     if (affects(changes, content.target_prefix))
         apply_targets(now);
@@ -155,6 +156,15 @@
         budgets.of(message.service).on_grant(message.grant, boot_now());
         ask_for_credit(boot_now());
     };
+    out.on_quota_request = [this](quota_request_message const& message) {
+        quotas.handle(message, boot_now());
+    };
+    out.on_quota_grant = [this](quota_grant_message const& message) {
+        quotas.handle(message, boot_now());
+    };
+    out.on_quota_release = [this](quota_release_message const& message) {
+        quotas.handle(message, boot_now());
+    };
     out.on_rejected = [this](codec::message_fault fault) {
         counters.count("peer_messages_rejected_" +
                        std::string(to_string(fault)));
@@ -202,6 +212,7 @@
         log_peer(message, now);
     for (auto const& [service, report] : message.budgets)
         budgets.of(service).on_report(message.sender, report, now);
+    quotas.on_heard(message.sender.value, now);
     gate.on_running(now);
     if (!gate.reads_backlog(now))
         apply_ages(message, now);
--- a/src/yuccabeam/gateway/request_router_test.cpp
+++ b/src/yuccabeam/gateway/request_router_test.cpp
@@ -1,9 +1,11 @@
 #include "yuccabeam/gateway/request_router.hpp"
 
 #include "exchange_fixture.hpp"
+#include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/gateway/drain.hpp"
 
 #include <doctest/doctest.h>
+#include <sstream>
 
 using namespace yuccabeam;
 using namespace yuccabeam::gateway;
@@ -15,13 +17,30 @@
 struct fixture : exchange_environment {
     content_format format;
     active_policy policies{format, log, counters};
-    request_router router{dependencies, policies};
+    bool copy_is_current = true;
+    bool accepts_keys = true;
+    request_router router{
+        dependencies,
+        policies,
+        [] { return true; },
+        {[this] { return copy_is_current; }, [this] { return accepts_keys; }}};
 
+    // The text of a configuration is its revision and the keys of the account.
     fixture() {
+        dependencies.find_account = [this](key_digest const& key) {
+            return policies.accounts().find(key);
+        };
         format.policy_key = "config";
-        format.policy = [](std::string const&) -> result<traffic_policy> {
+        format.policy = [](std::string const& text) -> result<traffic_policy> {
             traffic_policy out;
-            out.revision = 1;
+            std::istringstream words(text);
+            words >> out.revision;
+            client_account account;
+            account.id = {"acme"};
+            for (std::string key; words >> key;)
+                account.keys.push_back(digest_of(key));
+            out.requires_account = !account.keys.empty();
+            out.accounts = {account};
             route all;
             all.host = "h";
             all.path_prefix = "/";
@@ -35,12 +54,23 @@
         target_table.replace({target}, time_point{});
     }
 
-    void configure() {
+    void configure(std::string const& text = "1") {
         mirror::store_mirror store;
-        store.replace({{"config", "1", 1}}, 1);
+        ++store_revision;
+        store.replace({{"config", text, store_revision}}, store_revision);
         policies.update(store, time_point{});
     }
 
+    std::uint64_t store_revision = 0;
+
+    std::shared_ptr<recording_responder> serve_with(std::string const& key) {
+        auto out = std::make_shared<recording_responder>();
+        auto with_key = request();
+        with_key.head.fields.push_back({"Authorization", "Bearer " + key});
+        router.serve(std::move(with_key), out);
+        return out;
+    }
+
     static http1::incoming_request request() {
         http1::incoming_request out;
         out.head.method = "POST";
@@ -116,3 +146,62 @@
     CHECK(accepts_requests(2'700ms, options));
     CHECK_FALSE(accepts_requests(options.grace / 2, options));
 }
+
+TEST_CASE("a request runs only with a key of the configuration in force") {
+    fixture f;
+    f.configure("1 good");
+    CHECK(f.serve()->sent->status == 401);
+    CHECK(f.serve_with("bad")->sent->status == 401);
+    CHECK(f.activities_reported == 0);
+    CHECK_FALSE(f.serve_with("good")->sent);
+    CHECK(f.activities_reported == 1);
+    f.configure("2 other");
+    CHECK(f.serve_with("good")->sent->status == 401);
+    CHECK(f.activities_reported == 1);
+}
+
+// Guards against a 401 that only an older configuration gives.
+TEST_CASE("a request with an unknown key waits while the copy isn't current") {
+    fixture f;
+    f.configure("1 old");
+    f.copy_is_current = false;
+    auto const added = f.serve_with("new");
+    auto const unknown = f.serve_with("bad");
+    auto const late = f.serve_with("bad");
+    CHECK_FALSE(added->sent);
+    f.configure("2 old new");
+    f.router.serve_waiting();
+    CHECK_FALSE(added->sent);
+    CHECK(f.activities_reported == 1);
+    CHECK_FALSE(unknown->sent);
+    f.copy_is_current = true;
+    f.router.serve_waiting();
+    CHECK(unknown->sent->status == 401);
+    CHECK(late->sent->status == 401);
+}
+
+// Guards against a request that waits without end, as each look at it would
+// start its wait anew.
+TEST_CASE("a request whose key stays unknown on an old copy is refused as not "
+          "run") {
+    fixture f;
+    f.configure("1 old");
+    f.copy_is_current = false;
+    auto const held = f.serve_with("new");
+    auto const later = adapters::boot_now() + 10s;
+    f.router.serve_waiting();
+    f.router.expire(later, true);
+    CHECK(promises_not_run(*held));
+    CHECK(f.activities_reported == 0);
+}
+
+TEST_CASE("keys are not accepted on a copy beyond a strict limit") {
+    fixture f;
+    f.configure("1 good");
+    f.accepts_keys = false;
+    auto const held = f.serve_with("good");
+    CHECK_FALSE(held->sent);
+    f.router.expire(adapters::boot_now() + 10s, true);
+    CHECK(promises_not_run(*held));
+    CHECK(f.activities_reported == 0);
+}
--- a/src/yuccabeam/gateway/responses.cpp
+++ b/src/yuccabeam/gateway/responses.cpp
@@ -126,14 +126,37 @@
     return out;
 }
 
-http1::outgoing_response
-not_run_response(std::string const& request_id, std::string_view reason,
-                 std::chrono::milliseconds retry_after) {
-    auto out = gateway_response(503, request_id, reason);
+namespace {
+
+http1::outgoing_response refusal(int status, std::string const& request_id,
+                                 std::string_view reason,
+                                 std::chrono::milliseconds retry_after) {
+    auto out = gateway_response(status, request_id, reason);
     auto const seconds = static_cast<double>(retry_after.count()) / 1'000;
     auto text = std::to_string(seconds);
     out.fields.push_back({"Retry-After", text.substr(0, text.find('.') + 4)});
     return out;
 }
 
+} // namespace
+
+http1::outgoing_response unknown_key_response(std::string const& request_id) {
+    constexpr int unauthorized = 401;
+    auto out = gateway_response(unauthorized, request_id, unknown_key_reason);
+    out.fields.push_back({"WWW-Authenticate", "Bearer"});
+    return out;
+}
+
+http1::outgoing_response
+not_run_response(std::string const& request_id, std::string_view reason,
+                 std::chrono::milliseconds retry_after) {
+    return refusal(503, request_id, reason, retry_after);
+}
+
+http1::outgoing_response
+over_quota_response(std::string const& request_id,
+                    std::chrono::milliseconds retry_after) {
+    return refusal(429, request_id, "quota", retry_after);
+}
+
 } // namespace yuccabeam::gateway
--- a/src/yuccabeam/gateway/settings.cpp
+++ b/src/yuccabeam/gateway/settings.cpp
@@ -41,7 +41,19 @@
         seconds_or(reader, "leaving_limit_s", out.leaving_limit);
     out.target_heartbeat =
         seconds_or(reader, "target_heartbeat_s", out.target_heartbeat);
+    out.strict_revocation =
+        reader.boolean_or("strict_revocation", out.strict_revocation);
+    out.revocation_limit =
+        seconds_or(reader, "revocation_limit_s", out.revocation_limit);
     out.new_fleet = reader.boolean_or("new_fleet", out.new_fleet);
+    out.quota.window =
+        seconds_or(reader, "quota_window_s",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       out.quota.window));
+    out.quota.overshoot =
+        reader.number_or("quota_overshoot", out.quota.overshoot, 0, 10);
+    out.quota.slack =
+        reader.number_or("quota_slack", out.quota.slack, 0, max_slack);
     out.repeat_ratio =
         reader.number_or("repeat_ratio", out.repeat_ratio, 0, 10);
     out.repeat_slack =
--- a/src/yuccabeam/values/rules.cpp
+++ b/src/yuccabeam/values/rules.cpp
@@ -83,6 +83,12 @@
     return out;
 }
 
+priority priority_of_rank(std::uint32_t rank) {
+    if (rank == 0)
+        return priority::interactive;
+    return rank == 1 ? priority::normal : priority::bulk;
+}
+
 std::string_view to_string(ejection_policy value) {
     return word_of(policy_words, value);
 }
