Ask the other possible pools when a pool can't decide

Requests that are asked again now go to the other possible pools in turn. Answers that wait in the asker's own socket after a late tick no longer count as missing, and three questions in a row within one resend time count as one.

Not measured yet.

--- a/include/yuccabeam/gateway/quota_service.hpp
+++ b/include/yuccabeam/gateway/quota_service.hpp
@@ -31,10 +31,13 @@
     duration resend = std::chrono::milliseconds(60);
     /// A request that no pool has decided is refused after this time.
     duration max_wait = std::chrono::milliseconds(600);
-    /// A pool is silent after this many messages without an answer, the first
-    /// of them at least `silence` ago.
+    /// A pool is silent after this many messages without an answer, each sent
+    /// `resend` after the one before or later, the first of them at least
+    /// `silence` ago.
     unsigned silent_after = 3;
-    duration silence = std::chrono::milliseconds(200);
+    duration silence = std::chrono::milliseconds(300);
+    /// After a longer pause, answers may wait in this process's own socket.
+    duration longest_tick = std::chrono::milliseconds(120);
     /// A silent pool isn't chosen for this time, nor before it is heard again.
     duration avoidance = std::chrono::seconds(3);
     /// Longer pauses of this process make the age of its loans unknown.
@@ -111,11 +114,13 @@
         std::size_t slot = 0;
         time_point since{};
         time_point next_send{};
+        unsigned asked = 0;
         quota_service::handler handler;
     };
     struct pool_state {
         unsigned unanswered = 0;
         time_point first_unanswered{};
+        time_point counted_at{};
         time_point last_sent{};
         time_point avoided_until{};
         bool silent = false;
@@ -123,12 +128,15 @@
 
     bool is_running(time_point now);
     void choose_pools(time_point now);
+    void add_possible(std::vector<relay_candidate> const& candidates);
     bool is_usable(std::string const& address, time_point now) const;
     limits::slot_set slots_of(std::string const& address) const;
     void send(std::string const& pool, std::uint64_t number,
               account_id const& account, time_point now);
     void renew_loans(time_point now);
     void check_silence(time_point now);
+    void forget_unanswered();
+    std::string pool_to_ask(waiting_request const& request) const;
     void ask(std::uint64_t number, waiting_request& request, time_point now);
     limits::quota_decision decide(account_id const& account, time_point now);
     void conclude(std::uint64_t number, quota_result result,
@@ -142,6 +150,10 @@
     bool released_ = false;
     std::set<std::string> lenders_;
     std::array<std::string, limits::quota_slots> chosen_;
+    /// The pools that this daemon would choose, silent ones included, and those
+    /// that it chooses: others may have chosen any of them.
+    std::vector<std::string> possible_;
+    time_point last_tick_{};
     std::map<std::string, pool_state> pools_;
     time_point next_choice_{};
     time_point last_run_{};
--- a/src/yuccabeam/gateway/quota_service.cpp
+++ b/src/yuccabeam/gateway/quota_service.cpp
@@ -53,16 +53,16 @@
 void quota_service::choose_pools(time_point now) {
     next_choice_ = now + choice_period;
     auto candidates = callbacks_.candidates(now);
+    if (!released_)
+        candidates.push_back({options_.address, options_.processor_percent});
+    std::ranges::sort(candidates, is_better_relay);
+    possible_.clear();
+    add_possible(candidates);
     std::erase_if(candidates, [&](auto const& candidate) {
         return !is_usable(candidate.address, now);
     });
-    if (!released_)
-        candidates.push_back({options_.address, options_.processor_percent});
-    auto const count = std::min(options_.pools, candidates.size());
-    std::partial_sort(candidates.begin(),
-                      candidates.begin() + static_cast<std::ptrdiff_t>(count),
-                      candidates.end(), is_better_relay);
-    candidates.resize(count);
+    candidates.resize(std::min(options_.pools, candidates.size()));
+    add_possible(candidates);
     for (std::size_t slot = 0; slot < chosen_.size(); ++slot) {
         auto const best = std::ranges::max_element(
             candidates, {}, [&](auto const& candidate) {
@@ -73,6 +73,27 @@
     }
 }
 
+void quota_service::add_possible(
+    std::vector<relay_candidate> const& candidates) {
+    auto const count = std::min(options_.pools, candidates.size());
+    for (std::size_t i = 0; i < count; ++i)
+        if (std::ranges::find(possible_, candidates[i].address) ==
+            possible_.end())
+            possible_.push_back(candidates[i].address);
+}
+
+// First the pool of this daemon's choice. It may hold few shares if the others
+// have chosen another one, so the next questions go to the others in turn.
+std::string quota_service::pool_to_ask(waiting_request const& request) const {
+    if (request.asked == 0 || possible_.empty())
+        return chosen_[request.slot];
+    auto ranked = possible_;
+    std::ranges::sort(ranked, std::greater<>(), [&](std::string const& pool) {
+        return rank_of(pool, request.slot);
+    });
+    return ranked[(request.asked - 1) % ranked.size()];
+}
+
 limits::slot_set quota_service::slots_of(std::string const& address) const {
     limits::slot_set out = 0;
     for (std::size_t slot = 0; slot < chosen_.size(); ++slot)
@@ -93,6 +114,11 @@
     }
 }
 
+void quota_service::forget_unanswered() {
+    for (auto& [address, pool] : pools_)
+        pool.unanswered = 0;
+}
+
 void quota_service::on_heard(std::string const& address, time_point now) {
     auto const found = pools_.find(address);
     if (found != pools_.end() && now >= found->second.avoided_until)
@@ -105,8 +131,12 @@
                          account_id const& account, time_point now) {
     auto& state = pools_[pool];
     state.last_sent = now;
-    if (state.unanswered++ == 0)
+    if (state.unanswered == 0)
         state.first_unanswered = now;
+    if (state.unanswered == 0 || now - state.counted_at >= options_.resend) {
+        ++state.unanswered;
+        state.counted_at = now;
+    }
     callbacks_.send(
         quota_request_message{{options_.address},
                               number,
@@ -172,7 +202,10 @@
     if (now >= next_choice_)
         choose_pools(now);
     auto& request = waiting_[number];
-    request = {account, quota_slot_of(account), now, {}, std::move(handler)};
+    request.account = account;
+    request.slot = quota_slot_of(account);
+    request.since = now;
+    request.handler = std::move(handler);
     ask(number, request, now);
     return number;
 }
@@ -180,7 +213,8 @@
 void quota_service::ask(std::uint64_t number, waiting_request& request,
                         time_point now) {
     request.next_send = now + options_.resend;
-    auto const& pool = chosen_[request.slot];
+    auto const pool = pool_to_ask(request);
+    ++request.asked;
     if (pool.empty())
         return;
     if (pool != options_.address) {
@@ -258,6 +292,8 @@
 
 void quota_service::tick(time_point now) {
     is_running(now);
+    if (now - std::exchange(last_tick_, now) > options_.longest_tick)
+        forget_unanswered();
     if (!active_)
         return;
     check_silence(now);
