Let a late bucket earn only from shares that were held

A bucket that is first needed some time after its pool has got loans was filled as if the shares of today had been held since the last share left. The pool keeps the steps of the held shares, at most 16 for each slot, and replays them for a new bucket. Small steps are joined at their lower level, so the history errs only toward fewer tokens.

--- a/include/yuccabeam/limits/quota_pool.hpp
+++ b/include/yuccabeam/limits/quota_pool.hpp
@@ -7,8 +7,8 @@
 #include <array>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace yuccabeam::limits {
 
@@ -41,7 +41,9 @@
 /// A bucket earns the quota's rate times the lent shares and holds its capacity
 /// times the lent shares, so that all buckets of a quota together never exceed
 /// it, whatever pools the daemons choose. It starts empty, with a small gain
-/// for shares that move here, and full for unused shares.
+/// for shares that move here, and full for unused shares. A bucket that is
+/// first needed later has earned what the shares held at each time would have
+/// earned it.
 class quota_pool {
 public:
     explicit quota_pool(quota_options options = {}) : options_(options) {}
@@ -73,13 +75,17 @@
         bool unused = false; ///< when it was lent
         time_point until{};
     };
+    /// Shares from a time to the next step.
+    struct share_step {
+        time_point since;
+        double shares = 0;
+    };
     struct slot_state {
         std::map<daemon_id, lent_share> loans;
         double total = 0; ///< of the loans, may exceed 1
         time_point next_expiry{};
         time_point first_loan{};
-        /// Since then no share has left.
-        time_point undiminished_since{};
+        std::vector<share_step> steps; ///< since `first_loan`
         std::unordered_map<account_id, bucket> buckets;
     };
 
@@ -88,7 +94,8 @@
     void add(slot_state& slot, daemon_id const& lender, lent_share const& loan,
              time_point now);
     double gain(quota const& limit, lent_share const& loan) const;
-    void settle(slot_state const& slot, bucket& bucket, time_point now) const;
+    static void change_total(slot_state& slot, double by, time_point now);
+    void settle(double shares, bucket& bucket, time_point now) const;
     void settle_all(slot_state& slot, time_point now) const;
     bucket& bucket_of(slot_state& slot, account_id const& account,
                       quota const& limit, time_point now);
--- a/src/yuccabeam/limits/quota_pool.cpp
+++ b/src/yuccabeam/limits/quota_pool.cpp
@@ -11,15 +11,40 @@
 // elsewhere.
 constexpr double least_deciding_shares = 0.5;
 
+// Steps of the held shares that are kept for a slot. A fleet in which daemons
+// come and go has many small ones, which are joined.
+constexpr std::size_t most_steps = 16;
+
 double capped(double total) {
     return std::min(total, 1.0);
 }
 
 } // namespace
 
-void quota_pool::settle(slot_state const& slot, bucket& bucket,
-                        time_point now) const {
+// Joins the two neighbouring steps that differ least, at the lower level, so
+// that a bucket never earns from shares that were not held.
+void quota_pool::change_total(slot_state& slot, double by, time_point now) {
+    slot.total += by;
+    auto& steps = slot.steps;
     auto const shares = capped(slot.total);
+    if (!steps.empty() && steps.back().since == now)
+        steps.back().shares = std::min(steps.back().shares, shares);
+    else
+        steps.push_back({now, shares});
+    if (steps.size() <= most_steps)
+        return;
+    std::size_t best = 0;
+    auto const step = [&](std::size_t i) {
+        return std::abs(steps[i + 1].shares - steps[i].shares);
+    };
+    for (std::size_t i = 1; i + 2 < steps.size(); ++i)
+        if (step(i) < step(best))
+            best = i;
+    steps[best].shares = std::min(steps[best].shares, steps[best + 1].shares);
+    steps.erase(steps.begin() + static_cast<std::ptrdiff_t>(best) + 1);
+}
+
+void quota_pool::settle(double shares, bucket& bucket, time_point now) const {
     auto const earned = options_.fill_rate(bucket.limit) * shares *
                         to_seconds(now - bucket.settled_at);
     bucket.tokens = std::min(bucket.tokens + std::max(earned, 0.0),
@@ -29,7 +54,7 @@
 
 void quota_pool::settle_all(slot_state& slot, time_point now) const {
     for (auto& [account, bucket] : slot.buckets)
-        settle(slot, bucket, now);
+        settle(capped(slot.total), bucket, now);
 }
 
 // Each loan counts up to its own end.
@@ -41,12 +66,12 @@
         if (slot.next_expiry > now)
             return;
         settle_all(slot, slot.next_expiry);
-        slot.total -= first->second.share;
+        change_total(slot, -first->second.share, slot.next_expiry);
         slot.loans.erase(first);
-        slot.undiminished_since = slot.next_expiry;
         settle_all(slot, slot.next_expiry);
     }
     slot.total = 0;
+    slot.steps.clear();
     slot.buckets.clear();
 }
 
@@ -64,7 +89,7 @@
 void quota_pool::add(slot_state& slot, daemon_id const& lender,
                      lent_share const& loan, time_point now) {
     if (slot.loans.empty()) {
-        slot.first_loan = slot.undiminished_since = now;
+        slot.first_loan = now;
         slot.next_expiry = loan.until;
     }
     auto const [at, is_new] = slot.loans.try_emplace(lender, loan);
@@ -78,12 +103,10 @@
     if (before == loan.share)
         return;
     settle_all(slot, now);
-    slot.total += loan.share - before;
-    if (loan.share < before)
-        slot.undiminished_since = now;
+    change_total(slot, loan.share - before, now);
     for (auto& [account, bucket] : slot.buckets) {
         bucket.tokens += is_new ? gain(bucket.limit, loan) : 0;
-        settle(slot, bucket, now);
+        settle(capped(slot.total), bucket, now);
     }
 }
 
@@ -115,11 +138,14 @@
     auto& out = at->second;
     out.limit = limit;
     if (is_new) {
-        out.settled_at = slot.undiminished_since;
+        out.settled_at = slot.first_loan;
+        for (std::size_t i = 0; i < slot.steps.size(); ++i)
+            settle(slot.steps[i].shares, out,
+                   i + 1 < slot.steps.size() ? slot.steps[i + 1].since : now);
         for (auto const& [lender, loan] : slot.loans)
             out.tokens += gain(limit, loan);
     }
-    settle(slot, out, now);
+    settle(capped(slot.total), out, now);
     return out;
 }
 
