Count an unused share of a new fleet once at a pool

Daemons of a new fleet mark the shares that they have not lent before, so that buckets start full. The mark stays while a share is lent to the same pool. The pool remembers for each lender which slots it has counted as unused.

--- a/include/yuccabeam/limits/quota_pool.hpp
+++ b/include/yuccabeam/limits/quota_pool.hpp
@@ -102,6 +102,9 @@
 
     quota_options options_;
     std::array<slot_state, quota_slots> slots_;
+    /// Slots whose unused share has been counted, by lender. It counts once,
+    /// also when its loan was forgotten or has expired in between.
+    std::map<daemon_id, slot_set> counted_unused_;
 };
 
 } // namespace yuccabeam::limits
--- a/src/yuccabeam/limits/quota_pool.cpp
+++ b/src/yuccabeam/limits/quota_pool.cpp
@@ -112,12 +112,18 @@
 
 void quota_pool::on_loan(daemon_id const& lender, quota_loan const& loan,
                          time_point now) {
+    slot_set unused = 0;
+    if (loan.unused != 0) {
+        auto& counted = counted_unused_[lender];
+        unused = loan.unused & loan.slots & ~counted;
+        counted |= unused;
+    }
     for (std::size_t i = 0; i < quota_slots; ++i) {
         auto& slot = slots_[i];
         advance(slot, now);
         if ((loan.slots & slot_bit(i)) != 0) {
             add(slot, lender,
-                {loan.incarnation, loan.share, (loan.unused & slot_bit(i)) != 0,
+                {loan.incarnation, loan.share, (unused & slot_bit(i)) != 0,
                  now + options_.loan_validity},
                 now);
             continue;
