Keep what a new fleet has used while it grows

Each daemon of a new fleet that starts later brings an unused share, which filled its part of the buckets, while the shares before it shrank without losing what they had used. An unused share that shrinks takes its part of a full bucket along, and one that joins adds no more than the held shares grow.

--- a/src/yuccabeam/limits/quota_pool.cpp
+++ b/src/yuccabeam/limits/quota_pool.cpp
@@ -103,9 +103,16 @@
     if (before == loan.share)
         return;
     settle_all(slot, now);
+    auto const held = capped(slot.total);
     change_total(slot, loan.share - before, now);
+    auto const more = capped(slot.total) - held;
     for (auto& [account, bucket] : slot.buckets) {
-        bucket.tokens += is_new ? gain(bucket.limit, loan) : 0;
+        // As a new fleet grows, its unused shares shrink for those that join.
+        // What is missing from a full bucket stays missing.
+        if (unused && (is_new || more < 0))
+            bucket.tokens += options_.capacity(bucket.limit) * more;
+        else if (is_new)
+            bucket.tokens += gain(bucket.limit, loan);
         settle(capped(slot.total), bucket, now);
     }
 }
