--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cmath>
 #include <doctest/doctest.h>
+#include <limits>
 #include <random>
 
 using namespace yuccabeam;
@@ -53,6 +54,12 @@
         domain_activity_message{{"x"}, {"a"}, true, {{{"t"}, 5, 9}}},
         load_report_message{{"x"}, {{~0ULL, 3, true}, {5, 0, false}}},
         domain_load_message{{"x"}, {}},
+        quota_request_message{
+            {"x"}, ~0ULL, {7, ~0ULL, 0.01, 1ULL << 63}, {"a"}},
+        quota_request_message{{"x"}, 0, {7, 0, 1, 0}, {}},
+        quota_grant_message{{"x"}, ~0ULL, true, true, 0ms},
+        quota_grant_message{{"x"}, 1, false, true, 1'250ms},
+        quota_release_message{{"x"}},
         change_message{{"x"},
                        "c",
                        true,
@@ -102,6 +109,44 @@
     }
 }
 
+// Guards against a pool that counts more than a whole quota for one daemon.
+TEST_CASE("a loan of an impossible share is rejected") {
+    for (double const share :
+         {-0.001, 1.001, std::nan(""), -std::numeric_limits<double>::infinity(),
+          std::numeric_limits<double>::infinity()}) {
+        CAPTURE(share);
+        CHECK_FALSE(accepted(
+            encode(quota_request_message{{"x"}, 1, {1, 1, share, 0}, {"a"}})));
+    }
+    for (double const share : {0., 1.})
+        CHECK(accepted(
+            encode(quota_request_message{{"x"}, 1, {1, 1, share, 0}, {"a"}})));
+}
+
+// Guards against a response that asks a caller to retry in the past.
+TEST_CASE("an answer of a pool with a negative time is rejected") {
+    for (auto const time : {-1ms, std::chrono::milliseconds::min()}) {
+        CAPTURE(time.count());
+        CHECK_FALSE(
+            accepted(encode(quota_grant_message{{"x"}, 1, false, true, time})));
+    }
+}
+
+// Guards against a datagram cut short that lends or grants something.
+TEST_CASE("a message on quotas truncated at any byte is rejected") {
+    std::vector<peer_message> const messages = {
+        quota_request_message{{"x"}, 1, {1, 1, 0.5, 0}, {"a"}},
+        quota_grant_message{{"x"}, 1, true, true, 0ms},
+        quota_release_message{{"x"}}};
+    for (auto const& message : messages) {
+        CAPTURE(message.index());
+        auto const bytes = encode(message);
+        REQUIRE(accepted(bytes));
+        for (std::size_t size = 0; size < bytes.size(); ++size)
+            CHECK_FALSE(accepted(std::span(bytes).first(size)));
+    }
+}
+
 // Guards against a copy that is regarded as current forever, because its
 // confirmation lies in the future.
 TEST_CASE("a heartbeat with a negative copy age is rejected") {
