Conclude requests that wait for a token when the quotas end

A configuration that removes the last quota stopped the work of the quota service, also on requests that were waiting for a token. They were never answered, unless a late grant arrived. They are worked on until none waits.

The new test failed before (no result after max_wait) and passes now.

--- a/src/yuccabeam/gateway/quota_service.cpp
+++ b/src/yuccabeam/gateway/quota_service.cpp
@@ -258,7 +258,8 @@
 
 void quota_service::tick(time_point now) {
     is_running(now);
-    if (!active_)
+    // A request may still wait when a configuration removes the last quota.
+    if (!active_ && waiting_.empty())
         return;
     check_silence(now);
     if (now >= next_choice_)
