Let an earlier attempt decide when the key is removed before the next

When the key of a request was removed before its retry or hedge, the request ended with 502: a first attempt that was still running was cut off, the target's own error response was lost, and the retry that was never sent stayed charged to the retry budget. The design says that the result of an earlier attempt stands.

The attempt is withdrawn now: a running attempt goes on, an error response is delivered, and the credit is returned. Without an earlier attempt that may have run the caller still gets 401.

--- a/include/yuccabeam/placement/request_dispatch.hpp
+++ b/include/yuccabeam/placement/request_dispatch.hpp
@@ -135,6 +135,11 @@
     /// the service has spare capacity.
     dispatch_step on_check(time_point now);
     dispatch_step on_deadline(time_point now);
+    /// The attempt of a `send` step is not sent, as the request may not run any
+    /// more. A running attempt or an earlier response still decides the
+    /// result; otherwise the request ends with `reason`.
+    dispatch_step withdraw(std::size_t attempt, std::string_view reason,
+                           time_point now);
     /// Cancels all running attempts without any evidence about their targets.
     dispatch_step abandon(time_point now);
 
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -157,8 +157,10 @@
     }
 
     void send(std::size_t attempt) {
-        if (!key_is_valid()) {
-            end_without_key();
+        key_removed_ = key_removed_ || !key_is_valid();
+        if (key_removed_) {
+            execute(
+                dispatch_.withdraw(attempt, unknown_key_reason, boot_now()));
             return;
         }
         calls_.resize(attempt + 1);
@@ -332,7 +334,9 @@
         bool const ran = dispatch_.may_have_run();
         auto const outcome = ran ? "unknown" : "not_run";
         log_end(outcome, reason);
-        if (!ran)
+        if (!ran && reason == unknown_key_reason)
+            finish(unknown_key_response(id_), outcome);
+        else if (!ran)
             finish(not_run_response(id_, reason, retry_after()), outcome);
         else
             finish(
@@ -340,17 +344,6 @@
                 outcome);
     }
 
-    // Ends the request before an attempt, as its key has been removed.
-    void end_without_key() {
-        bool const ran = dispatch_.may_have_run() || dispatch_.running() > 1;
-        log_end(ran ? "unknown" : "not_run", unknown_key_reason);
-        execute(dispatch_.abandon(boot_now()));
-        if (ran)
-            finish(gateway_response(502, id_, unknown_key_reason), "unknown");
-        else
-            finish(unknown_key_response(id_), "not_run");
-    }
-
     // Counts the attempts that were in flight when the request ended without a
     // target's response.
     void count_abandoned_attempts() {
@@ -484,7 +477,10 @@
     placement::request_dispatch dispatch_;
     net::one_shot_timer deadline_timer_;
     net::one_shot_timer check_timer_;
-    std::vector<http1::client::call_ptr> calls_; ///< indexed by attempt
+    /// Indexed by attempt. Ends before the attempt that finds the key removed,
+    /// as none is sent from then on.
+    std::vector<http1::client::call_ptr> calls_;
+    bool key_removed_ = false;
     std::map<std::size_t, client_result> results_;
 };
 
--- a/src/yuccabeam/placement/request_dispatch.cpp
+++ b/src/yuccabeam/placement/request_dispatch.cpp
@@ -184,6 +184,25 @@
     return step;
 }
 
+dispatch_step request_dispatch::withdraw(std::size_t attempt,
+                                         std::string_view reason,
+                                         time_point now) {
+    dispatch_step step;
+    auto& unsent = attempts_[attempt];
+    if (ended_ || !std::exchange(unsent.running, false))
+        return step;
+    dependencies_.table.on_cancel(unsent.to.id);
+    add_activity(unsent.to.id, step);
+    --sent_;
+    if (retry_attempt_ == attempt)
+        dependencies_.budget.on_unsent_retry(now);
+    if (running() > 0)
+        return step;
+    if (fallback_)
+        return deliver(*fallback_, now, std::move(step));
+    return end(reason, now, std::move(step));
+}
+
 dispatch_step request_dispatch::on_attempt_end(std::size_t attempt,
                                                attempt_outcome outcome,
                                                time_point now,
--- a/src/yuccabeam/placement/request_dispatch_test.cpp
+++ b/src/yuccabeam/placement/request_dispatch_test.cpp
@@ -133,6 +133,27 @@
     }
 }
 
+// Guards against a first attempt that is cut off, as its hedge may not be sent.
+TEST_CASE("an attempt that is withdrawn leaves the others running") {
+    fixture f;
+    auto dispatch = f.dispatch(true);
+    REQUIRE(dispatch.start(start).action == dispatch_action::send);
+    auto const now = *dispatch.next_check();
+    auto const credit = f.budget.credit(now);
+    auto const hedge = dispatch.on_check(now);
+    REQUIRE(hedge.action == dispatch_action::send);
+    CHECK(dispatch.withdraw(hedge.attempt, "reason", now).action ==
+          dispatch_action::wait);
+    CHECK(f.budget.credit(now) == credit);
+    CHECK(f.in_flight() == 1);
+    CHECK(dispatch.attempts_sent() == 1);
+    auto const last =
+        dispatch.on_attempt_end(0, attempt_outcome::success, now + 10ms);
+    CHECK(last.action == dispatch_action::deliver);
+    CHECK(last.attempt == 0);
+    CHECK(f.in_flight() == 0);
+}
+
 // Guards against requests that fail at a suspected target with no retry left.
 TEST_CASE("only a request that may be retried tries a suspected target") {
     struct trial_case {
