Ignore what is older than the store's known era

Between the first answer of a newer era and the listing in it, an answer or a peer's copy of the older era was still taken for news: a late listing confirmed the copy, a peer's changes cancelled the listing that was due, and a late grant gave a lease that the restored store may give to another daemon. Cause: only the era of the copy was compared, not the newest one known. All calls and peers' changes are compared with the latter now.

The new test failed before (the peer's changes were applied, the listing confirmed the copy) and passes now.

--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -79,9 +79,15 @@
     client_.start(std::move(request),
                   [self = shared_from_this(),
                    handler = std::move(handler)](client_result result) {
-                      auto const status = self->format_.status(result);
-                      if (status != store_status::failed)
-                          self->on_era(self->era_of(result), boot_now());
+                      auto status = self->format_.status(result);
+                      if (status != store_status::failed) {
+                          auto const era = self->era_of(result);
+                          self->on_era(era, boot_now());
+                          // An answer that was given before the store's return
+                          // describes a state that is lost.
+                          if (era < self->era_)
+                              status = store_status::failed;
+                      }
                       handler(status, std::move(result));
                   });
 }
@@ -237,7 +243,10 @@
 bool store_sync::apply_peer_changes(mirror::store_changes const& changes) {
     if (changes.revision <= mirror_.revision())
         return true;
-    on_era(mirror::era_of(changes.revision), boot_now());
+    auto const era = mirror::era_of(changes.revision);
+    on_era(era, boot_now());
+    if (loaded() && era < era_)
+        return true;
     if (!mirror_.apply(changes))
         return false;
     schedule_.on_peer_changes();
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -202,6 +202,33 @@
     }
 }
 
+// Guards against a listing or a peer's copy from before a return that replaces
+// the copy after the return is known, and against its confirmation.
+TEST_CASE("what is older than the store's known era is not applied") {
+    fixture f({{body_in_era(1, "9 a")},
+               {body_in_era(2, "12 x")},
+               {body_in_era(1, "10 z")},
+               {body_in_era(2, "7 b")}});
+    REQUIRE(f.reaches(revision_in(1, 9)));
+    f.wake();
+    REQUIRE(http1::run_until(f.context, [&] {
+        f.sync->tick(adapters::boot_now());
+        return f.sync->counters().listings == 2;
+    }));
+    auto const confirmed = f.sync->changed_after();
+    CHECK(f.sync->apply_peer_changes(
+        {0, revision_in(1, 50), {{{"y", "v", revision_in(1, 50)}, false}}}));
+    CHECK(f.sync->mirror().revision() == revision_in(1, 9));
+    REQUIRE(http1::run_until(f.context, [&] {
+        f.sync->tick(adapters::boot_now());
+        return f.sync->counters().failures == 1;
+    }));
+    CHECK(f.sync->mirror().find("z") == nullptr);
+    CHECK(f.sync->changed_after() == confirmed);
+    REQUIRE(f.reaches(revision_in(2, 7)));
+    CHECK(f.sync->counters().listings == 3);
+}
+
 // Guards against the state before a return that arrives late.
 TEST_CASE("an answer of an older era is not applied") {
     fixture f({{body_in_era(2, "3 a")},
