Count a request that waits for its key once

held_for_key counted each look at a waiting request, that is once in each tick of the daemon. It counts a request once for each reason to wait now.

The check in the test failed before and passes now.

--- a/include/yuccabeam/gateway/pending_requests.hpp
+++ b/include/yuccabeam/gateway/pending_requests.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <deque>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace yuccabeam::gateway {
@@ -25,6 +26,7 @@
     http1::incoming_request request;
     http1::responder_ptr caller;
     time_point since{};
+    std::string_view held_for{}; ///< counter of the last reason to wait
 };
 
 /// Bounded queue of requests that arrived before the daemon's first
--- a/src/yuccabeam/gateway/request_router.cpp
+++ b/src/yuccabeam/gateway/request_router.cpp
@@ -112,7 +112,9 @@
 }
 
 void request_router::hold(pending_request request, std::string_view counter) {
-    dependencies_.counters.count(std::string(counter));
+    // A held request is looked at again in every tick.
+    if (std::exchange(request.held_for, counter) != counter)
+        dependencies_.counters.count(std::string(counter));
     if (auto refused = waiting_.add(std::move(request)))
         refuse_waiting(*refused);
 }
--- a/src/yuccabeam/gateway/request_router_test.cpp
+++ b/src/yuccabeam/gateway/request_router_test.cpp
@@ -190,6 +190,9 @@
     auto const held = f.serve_with("new");
     auto const later = adapters::boot_now() + 10s;
     f.router.serve_waiting();
+    f.router.serve_waiting();
+    CHECK(f.counters.text().find("yuccabeam_held_for_key_total 1\n") !=
+          std::string::npos);
     f.router.expire(later, true);
     CHECK(promises_not_run(*held));
     CHECK(f.activities_reported == 0);
