--- a/include/yuccabeam/gateway/program.hpp
+++ b/include/yuccabeam/gateway/program.hpp
@@ -14,10 +14,15 @@
     std::string settings_path;
     /// Only checks the settings, reports their errors and exits.
     bool check_only = false;
+    /// Only checks the configuration in this file, if given.
+    std::string policy_path{};
+    /// File with the configuration in force, to compare with, if given.
+    std::string in_force_path{};
 };
 
-/// Parses `--settings FILE` and `--check`; without the former, `default_path`
-/// is used. Empty if an argument is invalid.
+/// Parses `--settings FILE`, `--check`, `--check-policy FILE` and `--in-force
+/// FILE`; without the first, `default_path` is used. Empty if an argument is
+/// invalid.
 std::optional<program_options>
 parse_arguments(int argc, char const* const* argv, std::string default_path);
 
--- a/src/yuccabeam/gateway/program.cpp
+++ b/src/yuccabeam/gateway/program.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/gateway/program.hpp"
 
 #include "yuccabeam/gateway/gateway_daemon.hpp"
+#include "yuccabeam/gateway/policy_check.hpp"
 #include "yuccabeam/gateway/settings.hpp"
 
 #include <asio.hpp>
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr int exit_bad_settings = 2;
+constexpr int exit_bad_policy = 2;
 constexpr int exit_cannot_start = 5;
 
 std::string read_file(std::string const& path) {
@@ -27,6 +29,30 @@
     return parse_settings(read_file(path));
 }
 
+std::optional<std::string> read_policy_file(std::string const& path) {
+    std::ifstream file(path);
+    std::stringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        std::cerr << "cannot read " << path << "\n";
+        return std::nullopt;
+    }
+    return text.str();
+}
+
+int check_policy_files(program_options const& options,
+                       content_format const& format) {
+    auto const text = read_policy_file(options.policy_path);
+    std::optional<std::string> in_force;
+    if (!options.in_force_path.empty())
+        in_force = read_policy_file(options.in_force_path);
+    if (!text || (!in_force && !options.in_force_path.empty()))
+        return exit_bad_policy;
+    auto const findings =
+        check_policy_texts(format, *text, in_force ? &*in_force : nullptr);
+    std::cout << (findings.empty() ? "No findings.\n" : describe(findings));
+    return has_errors(findings) ? exit_bad_policy : 0;
+}
+
 void wait_for_signal(asio::signal_set& signals, gateway_daemon& daemon,
                      std::string const& path) {
     signals.async_wait([&, path](std::error_code error, int signal) {
@@ -70,13 +96,21 @@
             out.check_only = true;
         else if (argument == "--settings" && i + 1 < argc)
             out.settings_path = argv[++i];
+        else if (argument == "--check-policy" && i + 1 < argc)
+            out.policy_path = argv[++i];
+        else if (argument == "--in-force" && i + 1 < argc)
+            out.in_force_path = argv[++i];
         else
             return std::nullopt;
     }
+    if (out.policy_path.empty() && !out.in_force_path.empty())
+        return std::nullopt;
     return out;
 }
 
 int run_program(program_options const& options, formats formats) {
+    if (!options.policy_path.empty())
+        return check_policy_files(options, formats.content);
     auto const& path = options.settings_path;
     auto const read = load(path);
     if (auto const* faults = std::get_if<std::vector<json_fault>>(&read)) {
