Test the settings of accounts and quotas

Defaults, other values and the path that an error names, for strict_revocation, revocation_limit_s, quota_window_s, quota_overshoot and quota_slack, which the example has too; and the arguments of the check of a configuration.

--- a/src/yuccabeam/gateway/settings_test.cpp
+++ b/src/yuccabeam/gateway/settings_test.cpp
@@ -64,6 +64,19 @@
          {"/store", "/repeat_slack"}},
         {"no memory", {{"memory_mb", 0}}, {"/memory_mb"}},
         {"a flag that is a number", {{"new_fleet", 1}}, {"/new_fleet"}},
+        {"a text for strict revocation",
+         {{"strict_revocation", "yes"}},
+         {"/strict_revocation"}},
+        {"no time for a revocation",
+         {{"revocation_limit_s", 0}},
+         {"/revocation_limit_s"}},
+        {"a window of a quota without time",
+         {{"quota_window_s", 0}},
+         {"/quota_window_s"}},
+        {"a negative overshoot",
+         {{"quota_overshoot", -0.1}},
+         {"/quota_overshoot"}},
+        {"a slack of another type", {{"quota_slack", "20"}}, {"/quota_slack"}},
     };
     for (auto const& row : rows) {
         CAPTURE(row.name);
@@ -73,6 +86,50 @@
     }
 }
 
+// Guards against a setting that is read and not used, or read in another unit.
+TEST_CASE("the settings of accounts have defaults and are parsed") {
+    struct row {
+        char const* what;
+        nlohmann::json patch; ///< JSON merge patch on the example
+        bool strict;
+        std::chrono::milliseconds limit;
+        limits::quota_bound quota;
+    };
+    row const rows[] = {
+        {"the defaults, for keys that are left out",
+         {{"strict_revocation", nullptr},
+          {"revocation_limit_s", nullptr},
+          {"quota_window_s", nullptr},
+          {"quota_overshoot", nullptr},
+          {"quota_slack", nullptr}},
+         false,
+         5s,
+         {5s, 0.1, 20}},
+        {"the example", nlohmann::json::object(), false, 5s, {5s, 0.1, 20}},
+        {"other values",
+         {{"strict_revocation", true},
+          {"revocation_limit_s", 2.5},
+          {"quota_window_s", 1.5},
+          {"quota_overshoot", 0},
+          {"quota_slack", 7}},
+         true,
+         2'500ms,
+         {1'500ms, 0, 7}},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(std::string(row.what));
+        auto document = example();
+        document.merge_patch(row.patch);
+        auto const parsed = parse_settings(document.dump());
+        REQUIRE(std::holds_alternative<settings>(parsed));
+        auto const& read = std::get<settings>(parsed);
+        CHECK(read.strict_revocation == row.strict);
+        CHECK(read.revocation_limit == row.limit);
+        CHECK(read.quota == row.quota);
+        CHECK(quota_service_options_of(read).quota.bound == row.quota);
+    }
+}
+
 TEST_CASE("command line arguments are parsed and invalid ones are rejected") {
     struct row {
         std::vector<char const*> words;
@@ -87,6 +144,9 @@
         {{"p", "--settings"}, false, "", false},
         {{"p", "--chek"}, false, "", false},
         {{"p", "file"}, false, "", false},
+        {{"p", "--check-policy"}, false, "", false},
+        {{"p", "--in-force", "f"}, false, "", false},
+        {{"p", "--check-policy", "p", "--in-force"}, false, "", false},
     };
     for (auto const& row : rows) {
         auto const read = parse_arguments(static_cast<int>(row.words.size()),
@@ -99,6 +159,15 @@
     }
 }
 
+TEST_CASE("the files of a check of a configuration are parsed") {
+    char const* const words[] = {"p", "--check-policy", "new", "--in-force",
+                                 "old"};
+    auto const read = parse_arguments(5, words, "default");
+    REQUIRE(read);
+    CHECK(read->policy_path == "new");
+    CHECK(read->in_force_path == "old");
+}
+
 // Guards against a limit that holds for what the store says, and not for what a
 // target itself says.
 TEST_CASE("the limit for leaving targets is the same whoever says it") {
