Explain refusals by key and quota from the logs

logs explain had no sentence for unknown_key, unconfirmed_keys, quota and quota_undecided, and took them for attempts that were not retried. For an unknown key it also names the entries of accounts that the request's configuration leaves out, and a return of the store from a copy shortly before the request.

--- a/src/yuccabeam/ctl/log_story.cpp
+++ b/src/yuccabeam/ctl/log_story.cpp
@@ -106,9 +106,35 @@
     return text;
 }
 
+// What a daemon answered by an account's key or quota; empty for any other
+// reason.
+std::string sentence_on_account(log_line const& end) {
+    auto const reason = end.field("reason");
+    auto const account = "account " + end.field("account");
+    if (reason == "unknown_key" && end.field("outcome") == "unknown")
+        return "its key was removed before it could be sent again, and an "
+               "earlier attempt may have run";
+    if (reason == "unknown_key")
+        return "its key is no account's in configuration " +
+               end.field("policy") + ", or it had none";
+    if (reason == "unconfirmed_keys")
+        return "the daemon could not confirm that configuration " +
+               end.field("policy") +
+               " is the newest, so that it neither accepted nor refused the "
+               "key";
+    if (reason == "quota")
+        return account + " had used up its quota";
+    if (reason == "quota_undecided")
+        return "no daemon decided in time whether " + account +
+               " had used up its quota";
+    return {};
+}
+
 // What the daemon answered, by the reason in its line.
 std::string sentence_on_end(log_line const& end, log_line const* attempt) {
     auto const reason = end.field("reason");
+    if (auto text = sentence_on_account(end); !text.empty())
+        return text;
     if (end.field("outcome") == "caller_gone")
         return "the caller left before there was an answer";
     if (reason == "no_policy")
@@ -139,6 +165,38 @@
            "budget was left";
 }
 
+// The entries of accounts that the configuration lacks, for a request whose key
+// is unknown.
+std::string sentence_on_rejected(request_story const& story,
+                                 log_line const& end) {
+    if (end.field("reason") != "unknown_key")
+        return {};
+    auto const is_rejection = [](log_line const& line) {
+        return line.event == "account_rejected";
+    };
+    auto const count = std::ranges::count_if(story.beliefs, is_rejection);
+    if (count == 0)
+        return {};
+    auto const first = std::ranges::find_if(story.beliefs, is_rejection);
+    if (count == 1)
+        return "; the entry of account " + first->field("account") +
+               " was left out of configuration " + first->field("revision") +
+               " (" + first->field("reason") + ")";
+    return "; " + std::to_string(count) +
+           " entries of accounts were left out of configuration " +
+           first->field("revision");
+}
+
+std::string sentence_on_restored(request_story const& story) {
+    for (auto const& line : story.beliefs)
+        if (line.event == "store_restored" &&
+            line.time <= story.steps.back().time)
+            return "; shortly before, the store had come back from an older "
+                   "copy (era " +
+                   line.field("era") + ")";
+    return {};
+}
+
 std::string line_text(log_line const& line) {
     std::string text = line.time + " " + line.vm + " " + line.event;
     for (auto const& [key, value] : line.fields)
@@ -269,14 +327,22 @@
     if (!first || !last)
         return;
     auto const targets = targets_of(story_);
+    auto const& vm = story_.steps.front().vm;
+    auto const policy = story_.steps.back().field("policy");
     for (std::string text; std::getline(log, text);) {
         auto line = parse_log_line(text);
         if (!line || !line->field("id").empty())
             continue;
+        bool const of_daemon = line->event.starts_with("policy_") ||
+                               line->event == "store_restored";
         bool const told = targets.contains(line->field("target")) ||
-                          (line->event.starts_with("policy_") &&
-                           line->vm == story_.steps.front().vm);
-        if (told && is_between(*line, *first - ms_before, *last + ms_after))
+                          (of_daemon && line->vm == vm);
+        // Written when the configuration came into force, however long before.
+        bool const rejected =
+            line->event == "account_rejected" && line->vm == vm &&
+            line->field("revision") == policy && is_between(*line, 0, *last);
+        if (rejected ||
+            (told && is_between(*line, *first - ms_before, *last + ms_after)))
             story_.beliefs.push_back(std::move(*line));
     }
 }
@@ -303,7 +369,8 @@
     if (attempt != nullptr && end != nullptr)
         text += "; ";
     if (end != nullptr)
-        text += sentence_on_end(*end, attempt);
+        text += sentence_on_end(*end, attempt) +
+                sentence_on_rejected(story, *end) + sentence_on_restored(story);
     else if (attempt != nullptr && attempt->field("next") == "deliver")
         text += "; the caller got that answer";
     else if (attempt != nullptr)
--- a/src/yuccabeam/ctl/log_story_test.cpp
+++ b/src/yuccabeam/ctl/log_story_test.cpp
@@ -106,6 +106,73 @@
          at("01.000", "a",
             "event=request_ended id=r1 outcome=not_run reason=no_policy"),
          "the daemon had no configuration yet"},
+        {"a key that is unknown",
+         at("01.000", "a",
+            "event=request_ended id=r1 outcome=not_run reason=unknown_key "
+            "policy=4"),
+         "its key is no account's in configuration 4, or it had none."},
+        {"a key that was removed before a retry",
+         reset + at("01.001", "a",
+                    "event=request_ended id=r1 target=t1 outcome=unknown "
+                    "reason=unknown_key policy=4"),
+         "; its key was removed before it could be sent again, and an earlier "
+         "attempt may have run."},
+        {"a key on a copy that is not confirmed",
+         at("01.000", "a",
+            "event=request_ended id=r1 outcome=not_run "
+            "reason=unconfirmed_keys policy=4"),
+         "could not confirm that configuration 4 is the newest"},
+        {"a quota that is used up",
+         at("01.000", "a",
+            "event=request_ended id=r1 outcome=not_run reason=quota "
+            "account=acme policy=4"),
+         "account acme had used up its quota."},
+        {"a quota without a decision",
+         at("01.000", "a",
+            "event=request_ended id=r1 outcome=not_run "
+            "reason=quota_undecided account=acme policy=4"),
+         "no daemon decided in time whether account acme had used up its "
+         "quota."},
+        {"an entry of an account that was left out long before",
+         at("00.000", "a",
+            "event=account_rejected revision=4 account=acme "
+            "reason=\"/api_keys: expected a list of keys\"") +
+             at("59.000", "a",
+                "event=request_ended id=r1 outcome=not_run "
+                "reason=unknown_key policy=4"),
+         "or it had none; the entry of account acme was left out of "
+         "configuration 4 (/api_keys: expected a list of keys)."},
+        {"entries of another configuration and of another daemon",
+         at("00.000", "a",
+            "event=account_rejected revision=3 account=x reason=y") +
+             at("00.000", "b",
+                "event=account_rejected revision=4 account=x reason=y") +
+             at("01.000", "a",
+                "event=request_ended id=r1 outcome=not_run "
+                "reason=unknown_key policy=4"),
+         "or it had none."},
+        {"two entries that were left out",
+         at("00.000", "a",
+            "event=account_rejected revision=4 account=x reason=y") +
+             at("00.000", "a",
+                "event=account_rejected revision=4 account=z reason=y") +
+             at("01.000", "a",
+                "event=request_ended id=r1 outcome=not_run "
+                "reason=unknown_key policy=4"),
+         "; 2 entries of accounts were left out of configuration 4."},
+        {"a store that came back from a copy",
+         at("00.500", "a", "event=store_restored era=3 before=2") +
+             at("01.000", "a",
+                "event=request_ended id=r1 service=s outcome=not_run "
+                "reason=no_target targets=0"),
+         "(0 known); shortly before, the store had come back from an older "
+         "copy (era 3)."},
+        {"a store that came back after the request",
+         at("01.000", "a",
+            "event=request_ended id=r1 service=s outcome=not_run "
+            "reason=no_target targets=0") +
+             at("02.000", "a", "event=store_restored era=3 before=2"),
+         "(0 known)."},
         {"caller gone",
          at("01.000", "a",
             "event=request_ended id=r1 outcome=caller_gone reason=at_target"),
