--- a/src/yuccabeam/gateway/quota_service.cpp
+++ b/src/yuccabeam/gateway/quota_service.cpp
@@ -294,7 +294,8 @@
     is_running(now);
     if (now - std::exchange(last_tick_, now) > options_.longest_tick)
         forget_unanswered();
-    if (!active_)
+    // A request may still wait when a configuration removes the last quota.
+    if (!active_ && waiting_.empty())
         return;
     check_silence(now);
     if (now >= next_choice_)
