Lend no share of a quota before the fleet is known

A daemon took the fleet for one daemon until it had a copy of the store, and lent the whole quota as its share once a second had passed since its start. The size is set only once the store is loaded, and the lender lends nothing before.

--- a/include/yuccabeam/limits/quota_lender.hpp
+++ b/include/yuccabeam/limits/quota_lender.hpp
@@ -22,7 +22,9 @@
                  time_point started, bool new_fleet);
 
     /// Number of daemons that hold shares, this one included. It never becomes
-    /// smaller, as a daemon that seems gone may be cut off.
+    /// smaller, as a daemon that seems gone may be cut off. Nothing is lent
+    /// before the first call: a daemon that doesn't know the others yet would
+    /// take the whole quota for its share.
     void on_fleet_size(std::size_t daemons);
 
     /// The loan to send to a pool now, of the slots whose pool it should be.
@@ -42,7 +44,7 @@
 
     quota_options options_;
     yuccabeam::incarnation incarnation_;
-    std::size_t fleet_size_ = 1;
+    std::size_t fleet_size_ = 0; ///< 0 until it is known
     std::array<slot_state, quota_slots> slots_;
 };
 
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -255,7 +255,9 @@
     target_table.expire(now);
     usage.on_tick(target_table, log, now);
     budgets.on_fleet_size(peers.table().known_count() + 1, now);
-    quotas.on_fleet_size(peers.table().known_count() + 1);
+    // Before, the list of daemons isn't known, and shares would be too large.
+    if (store->loaded())
+        quotas.on_fleet_size(peers.table().known_count() + 1);
     quotas.tick(now);
     update_fleet_rates(now);
     if (!stopping_since) {
--- a/src/yuccabeam/gateway/quota_fleet.hpp
+++ b/src/yuccabeam/gateway/quota_fleet.hpp
@@ -74,6 +74,8 @@
     unsigned seed = 1;
     bool new_fleet = true;
     double loss = 0.001;
+    /// After its start, a daemon reads the list of daemons for this long.
+    duration list_time = std::chrono::milliseconds(500);
     duration min_delay = std::chrono::microseconds(100);
     duration max_delay = std::chrono::milliseconds(8);
 };
@@ -198,8 +200,6 @@
     static constexpr duration tick_period = std::chrono::milliseconds(50);
     static constexpr duration beat_period = std::chrono::seconds(1);
     static constexpr duration peer_timeout = std::chrono::seconds(4);
-    // A daemon has read the list of daemons by then.
-    static constexpr duration list_time = std::chrono::milliseconds(500);
     static constexpr std::size_t callers = 40; ///< of an account
 
     void push(event next) {
@@ -276,8 +276,9 @@
     }
     void tick(std::size_t i) {
         auto& node = nodes_[i];
-        bool const listed = now_ - node.started >= list_time;
-        node.service->on_fleet_size(listed ? listed_ : 1);
+        bool const listed = now_ - node.started >= options_.list_time;
+        if (listed)
+            node.service->on_fleet_size(listed_);
         node.service->tick(now_);
         push({now_ + tick_period, event_kind::tick, i, node.life});
     }
--- a/src/yuccabeam/gateway/quota_fleet_test.cpp
+++ b/src/yuccabeam/gateway/quota_fleet_test.cpp
@@ -124,6 +124,11 @@
     });
 }
 
+void restart_nearly_all_with_slow_lists(quota_fleet& fleet) {
+    fleet.at(fails_at, [&fleet] { fleet.network().list_time = 2'500ms; });
+    restart_nearly_all(fleet);
+}
+
 void kill_pools_in_turn(quota_fleet& fleet) {
     auto const pools = fleet.pool_order();
     for (std::size_t i = 0; i < 6; ++i) {
@@ -202,6 +207,7 @@
     {"all cut repeatedly", all_cut_repeatedly},
     {"pool of most killed", kill_pool_of_most},
     {"nearly all restarted", restart_nearly_all, 6, true, 1, true},
+    {"restarted with slow lists", restart_nearly_all_with_slow_lists},
     {"pools killed in turn", kill_pools_in_turn},
     {"pools stopped in turn", stop_pools_in_turn},
     {"pools paused", pause_pools},
--- a/src/yuccabeam/limits/quota_lender.cpp
+++ b/src/yuccabeam/limits/quota_lender.cpp
@@ -22,6 +22,8 @@
                               time_point now) {
     quota_loan out;
     out.incarnation = incarnation_;
+    if (fleet_size_ == 0)
+        return out;
     out.share = 1.0 / static_cast<double>(fleet_size_);
     for (std::size_t i = 0; i < quota_slots; ++i) {
         auto& slot = slots_[i];
--- a/src/yuccabeam/limits/quota_lender_test.cpp
+++ b/src/yuccabeam/limits/quota_lender_test.cpp
@@ -18,7 +18,9 @@
 daemon_id const two{"10.0.0.2:7"};
 
 quota_lender lender(bool new_fleet = false) {
-    return {{}, 5, start, new_fleet};
+    quota_lender out({}, 5, start, new_fleet);
+    out.on_fleet_size(1);
+    return out;
 }
 
 } // namespace
@@ -35,6 +37,18 @@
     }
 }
 
+// Guards against daemons that restart at once, don't know of each other yet and
+// each lend the whole quota.
+TEST_CASE("a lender lends nothing before it knows the fleet") {
+    quota_lender lent({}, 5, start, false);
+    auto const begin = start + 10 * hold;
+    CHECK(lent.lend(one, first_slot, begin).slots == 0);
+    CHECK(lent.lend(one, first_slot, begin).share == 0);
+    lent.on_fleet_size(40);
+    CHECK(lent.lend(one, first_slot, begin).slots == first_slot);
+    CHECK(lent.lend(one, first_slot, begin).share == 1.0 / 40);
+}
+
 TEST_CASE("a share goes to another pool only after the loan or its release") {
     struct row {
         char const* guards;
