Tell an empty configuration file from one that can't be read

The check of a configuration reported an empty file as unreadable, as copying nothing sets a stream's failbit. The test of its exit codes found that; one row failed before and passes now. A directory is still reported as unreadable.

--- a/src/yuccabeam/gateway/program.cpp
+++ b/src/yuccabeam/gateway/program.cpp
@@ -31,12 +31,12 @@
 
 std::optional<std::string> read_policy_file(std::string const& path) {
     std::ifstream file(path);
-    std::stringstream text;
-    if (!file || !(text << file.rdbuf())) {
+    file.peek(); // fails for a directory
+    if (!file.is_open() || file.bad()) {
         std::cerr << "cannot read " << path << "\n";
         return std::nullopt;
     }
-    return text.str();
+    return read_file(path);
 }
 
 int check_policy_files(program_options const& options,
