--- a/include/yuccabeam/limits/admission_queue.hpp
+++ b/include/yuccabeam/limits/admission_queue.hpp
@@ -105,6 +105,8 @@
     bool cancel(entry_id id);
 
     std::size_t size() const;
+    /// Entries of one priority.
+    std::size_t size(priority level) const;
     bool empty() const { return size() == 0; }
 
     /// Time at which the next entry has to be dropped, for a timer that calls
--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -5,6 +5,7 @@
 #include "yuccabeam/placement/failure_estimate.hpp"
 #include "yuccabeam/placement/outcome.hpp"
 #include "yuccabeam/placement/service_loads.hpp"
+#include "yuccabeam/placement/service_room.hpp"
 #include "yuccabeam/placement/target_load.hpp"
 #include "yuccabeam/placement/trial_allowance.hpp"
 #include "yuccabeam/values/ids.hpp"
@@ -286,6 +287,9 @@
     /// True while the utilisation of the service's usable targets, without
     /// suspected and unreachable ones, is below `room_utilisation`.
     bool has_spare_capacity(service_id const& service, time_point now) const;
+    /// Slots and requests in flight of the service's targets that may get
+    /// requests, without unreachable ones. The share is left at its default.
+    service_room room(service_id const& service, time_point now) const;
     /// A random time between half and one and a half times `mean`, so that
     /// daemons that wait for the same target don't act at the same moment.
     duration jittered(duration mean);
--- a/src/yuccabeam/limits/admission_queue.cpp
+++ b/src/yuccabeam/limits/admission_queue.cpp
@@ -159,6 +159,10 @@
 
     std::size_t size() const { return entries_.size(); }
 
+    std::size_t size(priority level) const {
+        return classes_[static_cast<std::size_t>(level)].size;
+    }
+
     std::optional<time_point> next_drop() const {
         if (by_latest_start_.empty())
             return std::nullopt;
@@ -274,6 +278,10 @@
     return state_->size();
 }
 
+std::size_t admission_queue::size(priority level) const {
+    return state_->size(level);
+}
+
 std::optional<time_point> admission_queue::next_drop() const {
     return state_->next_drop();
 }
--- a/src/yuccabeam/placement/target_loads.cpp
+++ b/src/yuccabeam/placement/target_loads.cpp
@@ -31,6 +31,26 @@
     return out;
 }
 
+service_room target_table::room(service_id const& service,
+                                time_point now) const {
+    service_room out;
+    out.relayed = loads_relayed_;
+    out.service_time = loads_.service_time(service);
+    for (auto const* entry : targets_of(service)) {
+        if (!entry->usable() || entry->vanished_at || entry->unreachable(now) ||
+            entry->availability.leaving_since ||
+            !may_be_asked(entry->availability, options_.availability, now))
+            continue;
+        double const load = in_flight(*entry, now);
+        out.slots += std::max<std::uint32_t>(entry->info.target.slots, 1);
+        out.in_flight += load;
+        out.own += entry->in_flight;
+        ++out.targets;
+        out.used += load > 0;
+    }
+    return out;
+}
+
 void target_table::mark_changed(record& entry) {
     if (!entry.load_changed)
         changed_loads_.push_back(entry.key);
