Queue requests in the gateway while a service is short of room

Cause: the gateway started an exchange for each request at once, also when the service had no free slots.

Change: gateway::admission stands between the router, after authentication and quota, and the exchanges. It holds the requests that the service's admission queues, refuses those that it drops as not run, and does nothing unless the configuration names client accounts or has routes with large requests. The exchange takes over the service that was chosen for a queued request.

--- a/include/yuccabeam/gateway/exchange.hpp
+++ b/include/yuccabeam/gateway/exchange.hpp
@@ -53,12 +53,21 @@
     bool hide_credentials = false;
     account_ptr account{};           ///< of the request's key
     std::optional<key_digest> key{}; ///< of the account
+    /// Chosen for the request; empty: the exchange chooses it.
+    std::optional<service_id> service{};
 };
 
 /// The request's id from its header, or an empty string.
 std::string request_id_of(http1::incoming_request const& request,
                           header_names const& headers);
 
+/// The route's service. One of several destinations is chosen at random by
+/// weight.
+service_id pick_service(route const& route, std::mt19937_64& random);
+/// The earlier of the route's limit and the caller's, from the first byte.
+time_point deadline_of(routed_request const& request,
+                       header_names const& headers);
+
 /// Serves one request: selects targets, sends the request, classifies the
 /// results and responds to the caller.
 void start_exchange(exchange_dependencies const& dependencies,
--- a/include/yuccabeam/gateway/request_router.hpp
+++ b/include/yuccabeam/gateway/request_router.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccabeam/gateway/active_policy.hpp"
+#include "yuccabeam/gateway/admission.hpp"
 #include "yuccabeam/gateway/exchange.hpp"
 #include "yuccabeam/gateway/pending_requests.hpp"
 #include "yuccabeam/gateway/quota_service.hpp"
@@ -34,10 +35,11 @@
         exchange_dependencies const& dependencies,
         active_policy const& policies,
         std::function<bool()> may_serve = [] { return true; },
-        key_checks checks = {}, quota_service* quotas = nullptr)
+        key_checks checks = {}, quota_service* quotas = nullptr,
+        admission* admission = nullptr)
         : dependencies_(dependencies), policies_(policies),
           may_serve_(std::move(may_serve)), checks_(std::move(checks)),
-          quotas_(quotas) {}
+          quotas_(quotas), admission_(admission) {}
 
     void serve(http1::incoming_request request, http1::responder_ptr caller);
     /// Serves the queued requests once a configuration and targets are known
@@ -52,6 +54,7 @@
     void serve(pending_request request);
     void hold(pending_request request, std::string_view counter);
     void start(pending_request request, route const& route);
+    void start_admitted(routed_request request);
     void ask_for_quota(routed_request request);
     void on_quota(routed_request request, quota_result result,
                   duration retry_after);
@@ -67,6 +70,7 @@
     std::function<bool()> may_serve_;
     key_checks checks_;
     quota_service* quotas_;
+    admission* admission_;
     pending_requests waiting_;
     bool closed_ = false;
 };
--- a/src/yuccabeam/gateway/exchange.cpp
+++ b/src/yuccabeam/gateway/exchange.cpp
@@ -49,33 +49,6 @@
                                                     : "non_idempotent";
 }
 
-// The route's service. One of several destinations is chosen at random by
-// weight.
-service_id pick_service(route const& route, std::mt19937_64& random) {
-    std::uint64_t total = 0;
-    for (auto const& destination : route.destinations)
-        total += destination.weight;
-    if (total == 0)
-        return route.service;
-    auto at =
-        std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random);
-    for (auto const& destination : route.destinations) {
-        if (at < destination.weight)
-            return destination.service;
-        at -= destination.weight;
-    }
-    return route.destinations.back().service;
-}
-
-time_point deadline_of(routed_request const& request,
-                       header_names const& headers) {
-    auto limit = request.route.timeout;
-    if (auto const caller_limit = number(
-            field_value(request.request.head.fields, headers.time_left_ms)))
-        limit = std::min(limit, std::chrono::milliseconds(*caller_limit));
-    return request.request.first_byte + limit;
-}
-
 /// Serves one request: performs the I/O for the steps that the request's state
 /// machine decides on.
 class exchange : public std::enable_shared_from_this<exchange> {
@@ -85,7 +58,9 @@
           id_(request_id_of(request_.request, dependencies.headers)),
           body_(std::make_shared<std::string const>(
               std::move(request_.request.body))),
-          service_(pick_service(request_.route, dependencies.random)),
+          service_(request_.service
+                       ? *request_.service
+                       : pick_service(request_.route, dependencies.random)),
           deadline_(deadline_of(request_, dependencies.headers)),
           dispatch_(dispatch_request(), dispatch_dependencies()),
           deadline_timer_(dependencies.executor),
@@ -490,6 +465,31 @@
 
 } // namespace
 
+service_id pick_service(route const& route, std::mt19937_64& random) {
+    std::uint64_t total = 0;
+    for (auto const& destination : route.destinations)
+        total += destination.weight;
+    if (total == 0)
+        return route.service;
+    auto at =
+        std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random);
+    for (auto const& destination : route.destinations) {
+        if (at < destination.weight)
+            return destination.service;
+        at -= destination.weight;
+    }
+    return route.destinations.back().service;
+}
+
+time_point deadline_of(routed_request const& request,
+                       header_names const& headers) {
+    auto limit = request.route.timeout;
+    if (auto const caller_limit = number(
+            field_value(request.request.head.fields, headers.time_left_ms)))
+        limit = std::min(limit, std::chrono::milliseconds(*caller_limit));
+    return request.request.first_byte + limit;
+}
+
 std::string request_id_of(http1::incoming_request const& request,
                           header_names const& headers) {
     return std::string(field_value(request.head.fields, headers.request_id));
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include "yuccabeam/gateway/daemon_options.hpp"
 #include "yuccabeam/gateway/drain.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccabeam::gateway {
@@ -42,10 +43,14 @@
       quotas(quota_service_options_of(settings), make_quota_callbacks(),
              boot_now()),
       dependencies(make_exchange_dependencies()),
+      admitted(dependencies,
+               [this](service_id const& service, time_point now) {
+                   return share_of(service, now);
+               }),
       ticker(context.get_executor()), policies(formats.content, log, counters),
       router(
           dependencies, policies, [this] { return may_serve(boot_now()); },
-          make_key_checks(), &quotas) {}
+          make_key_checks(), &quotas, &admitted) {}
 
 result<void> implementation::start() {
     store_sync_options options;
@@ -100,10 +105,21 @@
     };
     out.publish_activity = [this](placement::target_activity const& activity) {
         peers.report_activity(activity, boot_now());
+        admitted.on_activity();
     };
     return out;
 }
 
+// The balancer spreads callers over the daemons. A daemon that gets more of a
+// service's requests than that has a larger share.
+double implementation::share_of(service_id const& service, time_point now) {
+    auto const fleet_rate = target_table.loads().fleet_rate(service);
+    auto& budget = budgets.of(service).own();
+    double const rate = budget.requests(now) / to_seconds(budget.window());
+    double const measured = fleet_rate > 0 ? rate / fleet_rate : 0;
+    return std::clamp(measured, 1 / live_daemons, 1.0);
+}
+
 key_checks implementation::make_key_checks() {
     key_checks out;
     out.copy_is_current = [this] {
@@ -253,6 +269,7 @@
     router.serve_waiting();
     router.expire(now, !store->last_call_failed());
     target_table.expire(now);
+    admitted.tick();
     usage.on_tick(target_table, log, now);
     budgets.on_fleet_size(peers.table().known_count() + 1, now);
     quotas.on_fleet_size(peers.table().known_count() + 1);
@@ -274,6 +291,7 @@
         return;
     next_rate_update = now + rate_update_period;
     auto const daemons = peers.table().live_count(now) + 1;
+    live_daemons = static_cast<double>(daemons);
     for (auto const& [service, rate] : budgets.fleet_rates(daemons, now))
         target_table.loads().set_fleet_rate(service, rate);
 }
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -4,6 +4,7 @@
 
 #include "yuccabeam/adapters/clock.hpp"
 #include "yuccabeam/gateway/active_policy.hpp"
+#include "yuccabeam/gateway/admission.hpp"
 #include "yuccabeam/gateway/control_service.hpp"
 #include "yuccabeam/gateway/counters.hpp"
 #include "yuccabeam/gateway/peer_link.hpp"
@@ -66,6 +67,8 @@
     exchange_dependencies make_exchange_dependencies();
     key_checks make_key_checks();
     quota_callbacks make_quota_callbacks();
+    /// This daemon's part of a service's requests, 0 to 1.
+    double share_of(service_id const& service, time_point now);
     void answer_readiness(http1::incoming_request const& request,
                           http1::responder_ptr const& caller);
 
@@ -104,12 +107,14 @@
     std::unique_ptr<net::peer_transport> peer_transport;
     std::shared_ptr<store_sync> store;
     exchange_dependencies dependencies;
+    admission admitted;
     std::unique_ptr<http1::server> callers;
     std::unique_ptr<http1::server> readiness;
     std::unique_ptr<http1::server> control;
     net::one_shot_timer ticker;
     time_point last_tick{};
     time_point next_rate_update{};
+    double live_daemons = 1;     ///< as of the last update of the rates
     std::size_t peers_heard = 0; ///< since the last line about them
     time_point next_peer_line{};
     bool watch_decision = true;
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -66,6 +66,7 @@
         gate.on_unconfirmed_copy(now);
     policies.update(store->mirror(), now);
     quotas.set_active(policies.accounts().has_quotas());
+    admitted.set_active(calls_for_admission(policies.policy()));
     auto const& content = formats.content;
     if (affects(changes, content.target_prefix))
         apply_targets(now);
--- a/src/yuccabeam/gateway/request_router.cpp
+++ b/src/yuccabeam/gateway/request_router.cpp
@@ -71,7 +71,14 @@
     if (quotas_ != nullptr && routed.account && routed.account->rate > 0)
         ask_for_quota(std::move(routed));
     else
-        start_exchange(dependencies_, std::move(routed));
+        start_admitted(std::move(routed));
+}
+
+void request_router::start_admitted(routed_request request) {
+    if (admission_ != nullptr)
+        admission_->start(std::move(request));
+    else
+        start_exchange(dependencies_, std::move(request));
 }
 
 // A caller that leaves while its request waits gives its place up.
@@ -96,7 +103,7 @@
         return;
     }
     if (result == quota_result::granted) {
-        start_exchange(dependencies_, std::move(request));
+        start_admitted(std::move(request));
         return;
     }
     auto const id = request_id_of(request.request, dependencies_.headers);
@@ -138,6 +145,8 @@
 
 void request_router::close() {
     closed_ = true;
+    if (admission_ != nullptr)
+        admission_->close();
     for (auto const& held : waiting_.take_all())
         refuse_stopping(held.request, *held.caller);
 }
--- a/src/yuccabeam/gateway/request_router_test.cpp
+++ b/src/yuccabeam/gateway/request_router_test.cpp
@@ -205,3 +205,28 @@
     CHECK(promises_not_run(*held));
     CHECK(f.activities_reported == 0);
 }
+
+// Guards against a router that starts exchanges past the admission, and against
+// a stopping daemon that forgets its queue.
+TEST_CASE(
+    "requests pass through the admission, whose queue is refused when the "
+    "daemon stops") {
+    fixture f;
+    f.configure();
+    auto const now = adapters::boot_now();
+    admission admitted(f.dependencies,
+                       [](auto const&, time_point) { return 1.0; });
+    admitted.set_active(true);
+    request_router router(
+        f.dependencies, f.policies, [] { return true; }, {}, nullptr,
+        &admitted);
+    for (int i = 0; i < 10; ++i)
+        f.target_table.on_start({"t"}, now);
+    auto const queued = std::make_shared<recording_responder>();
+    router.serve(f.request(), queued);
+    CHECK(admitted.queued() == 1);
+    CHECK(f.activities_reported == 0);
+    router.close();
+    CHECK(promises_not_run(*queued));
+    CHECK(admitted.queued() == 0);
+}
