--- a/src/yuccabeam/placement/service_admission_loads_test.cpp
+++ b/src/yuccabeam/placement/service_admission_loads_test.cpp
@@ -114,7 +114,9 @@
                            served += static_cast<double>(kind.served);
                            sent += static_cast<double>(kind.sent);
                        }
-                       for (auto const& [name, kind] : with.kinds) {
+                       for (auto const& entry : with.kinds) {
+                           auto const& name = entry.first;
+                           auto const& kind = entry.second;
                            CAPTURE(name);
                            CHECK(kind.share() >= 0.25 * served / sent);
                            CHECK(kind.share() >=
@@ -180,7 +182,9 @@
                 CHECK(bulks.served > 0);
                 if (prompt && factor < 2)
                     CHECK(normals.share() > bulks.share());
-                for (auto const& [name, kind] : with.kinds) {
+                for (auto const& entry : with.kinds) {
+                    auto const& name = entry.first;
+                    auto const& kind = entry.second;
                     CAPTURE(name);
                     CHECK(answered(kind) == kind.sent);
                 }
@@ -201,7 +205,9 @@
         {"bulk", "c", bulk, 0.4 * capacity, 4s, 10s}};
     for_each_fleet(
         "enough slots", kinds, [](auto const& with, auto const& rest, bool) {
-            for (auto const& [name, kind] : with.kinds) {
+            for (auto const& entry : with.kinds) {
+                auto const& name = entry.first;
+                auto const& kind = entry.second;
                 CAPTURE(name);
                 CHECK(kind.share() >= rest.kinds.at(name).share() - 0.02);
                 CHECK(kind.refused * 100 <= kind.sent);
--- a/src/yuccabeam/placement/service_world.hpp
+++ b/src/yuccabeam/placement/service_world.hpp
@@ -17,6 +17,7 @@
 inline constexpr time_point start{100s};
 inline constexpr std::size_t targets = 8;
 inline constexpr std::uint32_t slots_each = 5;
+inline constexpr double slots = targets * slots_each;
 inline constexpr double mean_work_s = 0.1;
 /// Requests per second that all targets can serve.
 inline constexpr double capacity = targets * slots_each / mean_work_s;
@@ -213,7 +214,7 @@
         if (daemons_[daemon].queued() == 0)
             return;
         result_.least_targets_used = std::min(result_.least_targets_used, used);
-        result_.waits_with_room += in_flight < 0.3 * targets * slots_each;
+        result_.waits_with_room += static_cast<double>(in_flight) < 0.3 * slots;
     }
 
     void apply(std::vector<limits::queue_action> const& actions) {
