Keep clients that are not controlled within memory and descriptors

Large and many unfinished requests took several times the memory of a process (platform_crowd_test). Storage of rejected bodies was kept for a second and counted as freed, as assigning an empty std::string keeps the longer one's storage; the fields of a small head took up to 512 KiB and weren't counted, nor were connections, input and running requests; each chunk of one byte restarted a timer; connections had no limit.

The budget of decision 0016 covers connections, input, heads and running requests too. Without room idle connections end first, then those without progress, then the largest bodies, and the rest gets 503 before it is passed on. A limit of caller connections follows from max_descriptors (new setting) and the memory, and receive buffers shrink as connections grow in number. A response of which nothing is taken for 30 s ends, as does a body that grows by less than 1 KiB in 30 s.

--- a/include/yuccabeam/gateway/settings.hpp
+++ b/include/yuccabeam/gateway/settings.hpp
@@ -29,8 +29,11 @@
     /// Cores that this VM may use. Larger VMs become relays first.
     double processor_share = 1;
     /// Memory that this process may use, in MB (10^6 bytes). Message bodies
+    /// and connections of callers
     /// take up to half of it together.
     double memory_mb = 256;
+    /// Descriptors that this process may open, some of them for files.
+    std::size_t max_descriptors = 4'096;
     /// Time from the stop signal to the end of the process.
     std::chrono::milliseconds grace{6'000};
     /// Time after which a leaving target must get no new requests.
--- a/include/yuccabeam/http1/parser.hpp
+++ b/include/yuccabeam/http1/parser.hpp
@@ -32,6 +32,9 @@
     std::uint8_t minor_version = 1;
 };
 
+/// Memory that the strings and fields of a head take, in bytes.
+std::size_t memory_of(message_head const& head);
+
 /// Incremental parser of one HTTP/1.1 message, based on http_parser.
 ///
 /// Bytes after the end of the message are not consumed, so that the caller
@@ -62,6 +65,8 @@
     /// Size of the start line and header fields read so far.
     std::size_t head_bytes() const;
     bool head_complete() const;
+    /// Upper estimate of the memory that an incomplete head takes, in bytes.
+    std::size_t held_bytes() const;
 
 private:
     struct implementation;
--- a/include/yuccabeam/http1/server.hpp
+++ b/include/yuccabeam/http1/server.hpp
@@ -47,14 +47,36 @@
 
 using responder_ptr = std::shared_ptr<responder>;
 
+/// Receive buffer of a connection when many are open, in bytes. Smaller ones
+/// would take several round trips for an ordinary head.
+constexpr std::size_t least_socket_bytes = 8 << 10;
+
+/// Limits of a server whose callers nobody controls.
+struct server_options {
+    /// Open connections; 0 means that there is no limit. With a limit, the
+    /// connections draw from the budget of memory too.
+    std::size_t max_connections = 0;
+    /// Receive buffers of all connections beyond `least_socket_bytes` each, in
+    /// bytes; 0 means that each has the full size.
+    std::size_t socket_bytes = 0;
+    /// Time without a single byte taken after which a response ends.
+    std::chrono::milliseconds stalled_response{30'000};
+    /// Time in which 1 KiB of a request's body has to arrive, chunk sizes
+    /// included, or its end. The head timeout applies if it is longer.
+    std::chrono::milliseconds slow_body{30'000};
+};
+
 struct server_counters {
     std::uint64_t accepted = 0;
     std::uint64_t requests = 0;
     std::uint64_t rejected_by_parser = 0;
-    std::uint64_t head_timeouts = 0;
+    std::uint64_t head_timeouts = 0;           ///< of heads and bodies
     std::uint64_t rejected_without_memory = 0; ///< bodies of requests
     std::uint64_t responses_evicted = 0; ///< while callers read them slowly
     std::uint64_t callers_gone = 0;
+    std::uint64_t connections_refused = 0; ///< without room for them
+    std::uint64_t requests_refused = 0;    ///< without room for their heads
+    std::uint64_t stalled_responses = 0;
 };
 
 /// HTTP/1.1 server. Not thread-safe: use it only from the thread of its event
@@ -64,14 +86,17 @@
 /// the response is sent. Requests with contradictory framing are rejected with
 /// 400 and not passed to the handler. If the budget of all bodies has no room
 /// for a request's body, it is rejected with 503; the caller of the largest
-/// response that is being sent may lose its connection.
+/// response that is being sent may lose its connection. With a limit of
+/// connections, idle and stalled ones are closed for new ones; if there are
+/// none, the new one gets 503.
 class server {
 public:
     using handler = std::function<void(incoming_request, responder_ptr)>;
     using limits_source = std::function<caller_limits()>;
 
     server(asio::any_io_executor executor, limits_source limits,
-           handler handler, std::shared_ptr<memory_budget> memory = nullptr);
+           handler handler, std::shared_ptr<memory_budget> memory = nullptr,
+           server_options options = {});
     ~server();
     server(server const&) = delete;
     server& operator=(server const&) = delete;
@@ -95,6 +120,7 @@
     /// Number of requests whose response is not completely sent.
     std::size_t active() const;
     std::size_t connections() const;
+    server_options const& options() const;
     server_counters const& counters() const;
 
     struct implementation;
--- a/src/yuccabeam/gateway/daemon_options.cpp
+++ b/src/yuccabeam/gateway/daemon_options.cpp
@@ -2,7 +2,9 @@
 
 #include "yuccabeam/gateway/peer_link.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <sys/resource.h>
 
 namespace yuccabeam::gateway {
 
@@ -66,6 +68,39 @@
     return out;
 }
 
+http1::server_options caller_options_of(settings const& settings,
+                                        std::size_t system_descriptors) {
+    // Reserved for files and for the daemon's own sockets.
+    constexpr std::size_t reserved_descriptors = 200;
+    constexpr double bytes_per_mb = 1e6;
+    // Unread bytes in the kernel take up to this share of the memory. Each
+    // connection has its least buffer from one half of it; the first ones get
+    // larger buffers from the other half.
+    constexpr double socket_share = 0.25;
+    // The kernel admits about 1.25 times the size that is set.
+    constexpr double kernel_factor = 1.5;
+    auto const socket_bytes = static_cast<std::size_t>(
+        settings.memory_mb * bytes_per_mb * socket_share / kernel_factor);
+    auto const descriptors =
+        std::min(settings.max_descriptors, system_descriptors);
+    http1::server_options out;
+    // A running request needs a second descriptor, for its target.
+    auto const by_descriptors =
+        (descriptors - std::min(descriptors, reserved_descriptors)) / 2;
+    auto const by_memory = socket_bytes / 2 / http1::least_socket_bytes;
+    out.max_connections =
+        std::max<std::size_t>(1, std::min(by_descriptors, by_memory));
+    out.socket_bytes =
+        socket_bytes - out.max_connections * http1::least_socket_bytes;
+    return out;
+}
+
+std::size_t system_descriptor_limit() {
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    return limit.rlim_cur;
+}
+
 std::size_t body_bytes_of(settings const& settings) {
     constexpr double share = 0.5;
     constexpr double bytes_per_mb = 1e6;
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -190,7 +190,7 @@
                 router.close();
             router.serve(std::move(request), std::move(caller));
         },
-        memory);
+        memory, caller_options_of(settings, system_descriptor_limit()));
     auto const defaults = [] { return http1::caller_limits{}; };
     readiness = std::make_unique<http1::server>(
         executor, defaults,
--- a/src/yuccabeam/gateway/settings.cpp
+++ b/src/yuccabeam/gateway/settings.cpp
@@ -13,6 +13,8 @@
 constexpr double max_processors = 1'024;
 constexpr double least_memory_mb = 16;
 constexpr double max_memory_mb = 1e6;
+constexpr double least_descriptors = 256;
+constexpr double max_descriptors = 1e6;
 
 std::chrono::milliseconds seconds_or(json_reader& reader, std::string_view name,
                                      std::chrono::milliseconds fallback) {
@@ -36,6 +38,9 @@
         "processor_share", out.processor_share, 0, max_processors);
     out.memory_mb = reader.number_or("memory_mb", out.memory_mb,
                                      least_memory_mb, max_memory_mb);
+    out.max_descriptors = static_cast<std::size_t>(reader.number_or(
+        "max_descriptors", static_cast<double>(out.max_descriptors),
+        least_descriptors, max_descriptors));
     out.grace = seconds_or(reader, "grace_s", out.grace);
     out.leaving_limit =
         seconds_or(reader, "leaving_limit_s", out.leaving_limit);
--- a/src/yuccabeam/gateway/settings_test.cpp
+++ b/src/yuccabeam/gateway/settings_test.cpp
@@ -2,6 +2,7 @@
 #include "yuccabeam/gateway/program.hpp"
 #include "yuccabeam/gateway/settings.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -63,6 +64,7 @@
          {{"store", 7}, {"repeat_slack", "many"}},
          {"/store", "/repeat_slack"}},
         {"no memory", {{"memory_mb", 0}}, {"/memory_mb"}},
+        {"no descriptors", {{"max_descriptors", 0}}, {"/max_descriptors"}},
         {"a flag that is a number", {{"new_fleet", 1}}, {"/new_fleet"}},
     };
     for (auto const& row : rows) {
@@ -108,3 +110,33 @@
     CHECK(options.leaving_limit == 700ms);
     CHECK(options.availability.leaving_limit == 700ms);
 }
+
+// Guards against more caller connections than descriptors or memory allow.
+TEST_CASE("the limit of callers follows from descriptors and memory") {
+    struct row {
+        char const* what;
+        double memory_mb;
+        std::size_t descriptors;
+        std::size_t of_system;
+    };
+    row const rows[] = {
+        {"the smallest VM", 160, 4'100, 20'000},
+        {"little memory", 16, 4'096, 20'000},
+        {"a lower limit of the system", 1'000, 4'096, 1'024},
+        {"hardly any descriptor", 16, 256, 10},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.what);
+        settings given;
+        given.memory_mb = row.memory_mb;
+        given.max_descriptors = row.descriptors;
+        auto const out = caller_options_of(given, row.of_system);
+        CHECK(out.max_connections > 0);
+        if (row.of_system > 200)
+            CHECK(2 * out.max_connections + 200 <=
+                  std::min(row.descriptors, row.of_system));
+        CHECK(static_cast<double>(out.max_connections *
+                                      http1::least_socket_bytes +
+                                  out.socket_bytes) <= row.memory_mb * 1e6 / 4);
+    }
+}
--- a/src/yuccabeam/http1/connection.cpp
+++ b/src/yuccabeam/http1/connection.cpp
@@ -49,9 +49,21 @@
               {[this](message_head& head) { return on_head(head); },
                [this](std::string_view part) { on_body(part); }}) {}
 
-void connection::start() {
+void connection::start(bool refused) {
     std::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    if (tracked()) {
+        size_buffers();
+        hold_ = memory_hold(server_->memory);
+        allow_eviction(eviction_rank::idle);
+        if (refused || !hold_memory()) {
+            server_->counters.connections_refused += refused ? 0 : 1;
+            hold_ = {};
+            reject(503);
+            read();
+            return;
+        }
+    }
     arm(server_->limits().idle_timeout);
     read();
 }
@@ -93,6 +105,10 @@
     } else if (state_ == state::reading) {
         ++server_->counters.head_timeouts;
         reject(408);
+    } else if (state_ == state::responding && sending_) {
+        ++server_->counters.stalled_responses;
+        end_request();
+        close();
     }
 }
 
@@ -119,9 +135,18 @@
         read();
         return;
     }
+    // No request of this connection follows.
+    if (state_ == state::responding && sending_ && !keep_) {
+        read();
+        return;
+    }
     input_.append(buffer_.data(), size);
     if (state_ == state::reading)
         process();
+    // Without room, pipelined input stays in the kernel's bounded buffer.
+    if (state_ == state::responding &&
+        !hold_.resize_without_eviction(held_bytes()))
+        return;
     if (state_ != state::closed && input_.size() < max_pipelined_bytes)
         read();
 }
@@ -146,12 +171,23 @@
         return;
     if (!parser_.started()) {
         first_byte_ = boot_now();
+        progress_at_ = first_byte_;
+        progress_bytes_ = 0;
+        hold_.rank(eviction_rank::in_request, first_byte_);
         arm(server_->limits().head_timeout);
     }
+    auto const body_before = request_.body.size();
     auto const used = parser_.feed(input_);
     input_.erase(0, used);
+    if (input_.empty() && input_.capacity() > read_size)
+        release(input_);
     if (state_ != state::reading)
         return;
+    mark_progress(used);
+    if (!hold_memory() && rejection_status_ == 0) {
+        ++server_->counters.requests_refused;
+        rejection_status_ = 503;
+    }
     auto const limits = server_->limits();
     if (rejection_status_ != 0)
         reject(rejection_status_);
@@ -162,26 +198,42 @@
         reject(431);
     else if (parser_.complete())
         dispatch();
+    else if (parser_.head_complete())
+        on_body_read(body_before);
+}
+
+// A body has to grow within each head timeout, and by a whole part within the
+// time for slow bodies. Without the second limit single bytes would keep a
+// connection for ever.
+void connection::on_body_read(std::size_t size_before) {
+    if (std::exchange(body_begun_, true) && request_.body.size() == size_before)
+        return;
+    auto const limit = server_->limits().head_timeout;
+    auto const whole = std::max(limit, server_->options.slow_body);
+    auto const left = whole - (boot_now() - progress_at_);
+    arm(std::clamp(std::chrono::ceil<std::chrono::milliseconds>(left),
+                   std::chrono::milliseconds(0), limit));
 }
 
 bool connection::on_head(message_head& head) {
     auto const limits = server_->limits();
-    request_.head = head;
-    if (head.framing == body_framing::length &&
-        head.content_length > limits.max_body_bytes)
+    request_.head = std::move(head);
+    auto const& received = request_.head;
+    head_bytes_held_ = memory_of(request_.head);
+    head_only_ = request_.head.method == "HEAD";
+    if (received.framing == body_framing::length &&
+        received.content_length > limits.max_body_bytes)
         rejection_status_ = 413;
-    if (std::ranges::count_if(head.fields,
+    if (std::ranges::count_if(received.fields,
                               [](http_field const& field) {
                                   return same_field_name(field.name, "Host");
                               }) > 1 ||
-        head.method == "CONNECT" || head.target.empty() ||
-        head.target.front() != '/')
+        received.method == "CONNECT" || received.target.empty() ||
+        received.target.front() != '/')
         rejection_status_ = 400;
-    if (rejection_status_ == 0 && head.framing != body_framing::none &&
-        same_field_name(field_value(head.fields, "Expect"), "100-continue"))
+    if (rejection_status_ == 0 && received.framing != body_framing::none &&
+        same_field_name(field_value(received.fields, "Expect"), "100-continue"))
         send_continue();
-    // The head is complete; restarts the timeout for the body.
-    arm(limits.head_timeout);
     hold_request_body();
     return false;
 }
@@ -198,7 +250,7 @@
 void connection::drop_request_body() {
     rejection_status_ = 503;
     ++server_->counters.rejected_without_memory;
-    request_.body = std::string();
+    release(request_.body);
     request_.hold.resize(0);
     asio::post(server_->executor, [self = shared_from_this()] {
         if (self->state_ == state::reading)
@@ -220,9 +272,7 @@
     if (!append_held(request_.body, part, expected, request_.hold)) {
         ++server_->counters.rejected_without_memory;
         rejection_status_ = 503;
-        return;
     }
-    arm(server_->limits().head_timeout);
 }
 
 void connection::send_continue() {
@@ -233,8 +283,14 @@
 
 void connection::reject(int status) {
     begin_response();
-    request_.body = std::string();
-    request_.hold = {};
+    send_rejection(status);
+}
+
+void connection::send_rejection(int status) {
+    release(request_.body);
+    request_ = {};
+    head_bytes_held_ = 0;
+    release(input_);
     outgoing_response response;
     response.status = status;
     if (status == 503)
@@ -256,31 +312,54 @@
 
 void connection::send(outgoing_response response, bool keep) {
     sending_ = true;
+    keep_ = keep;
+    sent_ = 0;
     on_disconnect_ = nullptr;
-    bool const head_only = request_.head.method == "HEAD";
     out_ = "HTTP/1.1 " + std::to_string(response.status) + " ";
     out_.append(reason_phrase(response.status)).append("\r\n");
-    if (!head_only && response.status != 204 && response.status != 304)
+    if (!head_only_ && response.status != 204 && response.status != 304)
         out_.append("Content-Length: ")
             .append(std::to_string(response.body.size()))
             .append("\r\n");
     out_.append(keep ? "" : "Connection: close\r\n");
     append_fields(out_, response.fields);
-    body_ = head_only ? std::string() : std::move(response.body);
+    body_ = head_only_ ? std::string() : std::move(response.body);
     body_hold_ = std::move(response.hold);
     body_hold_.on_evict([weak = weak_from_this()] {
         if (auto const self = weak.lock())
             self->drop_response();
     });
-    std::array<asio::const_buffer, 2> const parts = {asio::buffer(out_),
-                                                     asio::buffer(body_)};
-    asio::async_write(
-        socket_, parts,
-        [self = shared_from_this(), keep](std::error_code error, std::size_t) {
-            self->on_sent(error, keep);
+    progress_bytes_ = 0;
+    progress_at_ = boot_now();
+    allow_eviction(eviction_rank::in_request);
+    hold_.resize_without_eviction(held_bytes());
+    write();
+}
+
+void connection::write() {
+    auto const of_head = std::min(sent_, out_.size());
+    std::array<asio::const_buffer, 2> const parts = {
+        asio::buffer(out_) + of_head, asio::buffer(body_) + (sent_ - of_head)};
+    socket_.async_write_some(
+        parts,
+        [self = shared_from_this()](std::error_code error, std::size_t size) {
+            self->on_written(error, size);
         });
 }
 
+void connection::on_written(std::error_code error, std::size_t size) {
+    if (state_ != state::responding)
+        return;
+    sent_ += size;
+    if (error || sent_ == out_.size() + body_.size()) {
+        on_sent(error);
+        return;
+    }
+    mark_progress(size);
+    arm(server_->options.stalled_response);
+    write();
+}
+
 // Ends a response that its caller reads too slowly.
 void connection::drop_response() {
     ++server_->counters.responses_evicted;
@@ -292,7 +371,7 @@
     });
 }
 
-void connection::on_sent(std::error_code error, bool keep) {
+void connection::on_sent(std::error_code error) {
     if (state_ != state::responding)
         return;
     sending_ = false;
@@ -302,7 +381,7 @@
         close();
         return;
     }
-    if (keep)
+    if (keep_)
         next_request();
     else
         linger_close();
@@ -311,10 +390,14 @@
 void connection::next_request() {
     state_ = state::reading;
     parser_.restart();
+    release(request_.body);
     request_ = {};
     rejection_status_ = 0;
-    body_.clear();
-    body_.shrink_to_fit();
+    body_begun_ = false;
+    head_bytes_held_ = 0;
+    release(body_);
+    allow_eviction(eviction_rank::idle);
+    hold_memory();
     arm(server_->limits().idle_timeout);
     process();
     if (input_.size() < max_pipelined_bytes)
@@ -336,18 +419,25 @@
     timer_.cancel();
     std::error_code ignored;
     socket_.close(ignored);
+    server_->socket_bytes -= socket_bytes_;
     server_->open.erase(shared_from_this());
 }
 
 void connection::dispatch() {
     begin_response();
+    hold_.on_evict(nullptr);
+    // Its own body must not be what makes room for it.
+    request_.hold.on_evict(nullptr);
+    if (!hold_memory()) {
+        ++server_->counters.requests_refused;
+        send_rejection(503);
+        return;
+    }
     ++server_->counters.requests;
-    request_.first_byte = first_byte_;
     request_keep_alive_ = request_.head.keep_alive;
     incoming_request request;
-    request.head = request_.head;
+    request.head = std::move(request_.head);
     request.body = std::move(request_.body);
-    request_.hold.on_evict(nullptr);
     request.hold = std::move(request_.hold);
     request.first_byte = first_byte_;
     server_->handler(std::move(request), std::make_shared<connection_responder>(
--- a/src/yuccabeam/http1/memory_budget.cpp
+++ b/src/yuccabeam/http1/memory_budget.cpp
@@ -1,5 +1,7 @@
 #include "yuccabeam/http1/memory_budget.hpp"
 
+#include "yuccabeam/adapters/clock.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -23,18 +25,17 @@
 
 } // namespace
 
+memory_budget::memory_budget(std::size_t limit, clock_source clock)
+    : limit_(limit), clock_(clock ? std::move(clock) : adapters::boot_now) {}
+
 bool memory_budget::resize(holder& of, std::size_t bytes) {
-    if (bytes > of.bytes) {
-        auto const extra = bytes - of.bytes;
-        while (held_ + extra > limit_) {
-            auto* const largest = largest_evictable(of);
-            if (largest == nullptr || largest->bytes <= of.bytes) {
-                ++refusals_;
-                return false;
-            }
-            ++evictions_;
-            std::exchange(largest->evict, nullptr)();
-        }
+    // A size that can't be granted evicts nobody.
+    bool refused = bytes > of.bytes && bytes > limit_;
+    while (!refused && bytes > of.bytes && held_ + bytes - of.bytes > limit_)
+        refused = !evict_for(of);
+    if (refused) {
+        ++refusals_;
+        return false;
     }
     held_ += bytes;
     held_ -= std::exchange(of.bytes, bytes);
@@ -42,11 +43,56 @@
     return true;
 }
 
+bool memory_budget::evict_for(holder const& growing) {
+    auto* out = first_connection(&growing);
+    if (out == nullptr) {
+        out = largest_evictable(growing);
+        if (out == nullptr || out->bytes <= growing.bytes)
+            return false;
+    }
+    evict(*out);
+    return true;
+}
+
+bool memory_budget::evict_connection() {
+    auto* const out = first_connection(nullptr);
+    if (out != nullptr)
+        evict(*out);
+    return out != nullptr;
+}
+
+void memory_budget::evict(holder& of) {
+    ++(of.rank == eviction_rank::idle         ? idle_evictions_
+       : of.rank == eviction_rank::in_request ? stalled_evictions_
+                                              : evictions_);
+    std::exchange(of.evict, nullptr)();
+}
+
+memory_budget::holder*
+memory_budget::first_connection(holder const* except) const {
+    if (auto* const idle = oldest(eviction_rank::idle, except))
+        return idle;
+    auto* const out = oldest(eviction_rank::in_request, except);
+    return out != nullptr && clock_() - out->since >= stalled_after ? out
+                                                                    : nullptr;
+}
+
+memory_budget::holder* memory_budget::oldest(eviction_rank rank,
+                                             holder const* except) const {
+    holder* out = nullptr;
+    for (auto* const at : holders_)
+        if (at != except && at->evict && at->rank == rank &&
+            (out == nullptr || at->since < out->since))
+            out = at;
+    return out;
+}
+
 memory_budget::holder*
 memory_budget::largest_evictable(holder const& except) const {
     holder* out = nullptr;
     for (auto* const at : holders_)
         if (at != &except && at->evict && at->bytes > 0 &&
+            at->rank == eviction_rank::by_size &&
             (out == nullptr || at->bytes > out->bytes))
             out = at;
     return out;
@@ -81,6 +127,22 @@
     return !holder_ || budget_->resize(*holder_, bytes);
 }
 
+bool memory_hold::resize_without_eviction(std::size_t bytes) {
+    if (!holder_)
+        return true;
+    bool const fits =
+        bytes <= holder_->bytes ||
+        budget_->held_ + bytes - holder_->bytes <= budget_->limit_;
+    return fits && budget_->resize(*holder_, bytes);
+}
+
+void memory_hold::rank(eviction_rank rank, time_point since) {
+    if (!holder_)
+        return;
+    holder_->rank = rank;
+    holder_->since = since;
+}
+
 void memory_hold::on_evict(std::function<void()> callback) {
     if (holder_)
         holder_->evict = std::move(callback);
--- a/src/yuccabeam/http1/memory_budget_test.cpp
+++ b/src/yuccabeam/http1/memory_budget_test.cpp
@@ -142,3 +142,72 @@
     REQUIRE(append_held(body, "x", 50'000'000, hold));
     CHECK(hold.bytes() <= 2'000'000);
 }
+
+// Guards against a crowd of connections that keeps the memory that ordinary
+// requests need, and against the close of those that make progress.
+TEST_CASE("idle connections give way first, then stalled ones, then large "
+          "bodies") {
+    using namespace std::chrono_literals;
+    struct holder {
+        eviction_rank rank;
+        std::chrono::milliseconds since;
+        std::size_t bytes;
+    };
+    struct row {
+        char const* guards;
+        std::vector<holder> held;
+        std::size_t wanted;
+        bool granted;
+        std::vector<bool> evicted;
+    };
+    auto const idle = eviction_rank::idle;
+    auto const in_request = eviction_rank::in_request;
+    auto const by_size = eviction_rank::by_size;
+    std::vector<row> const rows = {
+        {"the longest idle one goes, not the largest body",
+         {{idle, 9s, 100}, {idle, 8s, 100}, {by_size, 0s, 800}},
+         50,
+         true,
+         {false, true, false}},
+        {"idle ones go before stalled ones",
+         {{in_request, 1s, 500}, {idle, 9s, 500}},
+         100,
+         true,
+         {false, true}},
+        {"the longest stalled one goes before a larger body",
+         {{in_request, 2s, 100}, {in_request, 1s, 100}, {by_size, 0s, 800}},
+         100,
+         true,
+         {false, true, false}},
+        {"one that makes progress stays",
+         {{in_request, 9'500ms, 500}, {by_size, 0s, 500}},
+         100,
+         true,
+         {false, true}},
+        {"without any to close the new one ends",
+         {{in_request, 9'500ms, 1'000}},
+         100,
+         false,
+         {false}},
+        {"a size beyond the limit closes nobody",
+         {{idle, 0s, 500}},
+         limit + 1,
+         false,
+         {false}},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(row.guards);
+        auto const budget = std::make_shared<memory_budget>(
+            limit, [] { return yuccabeam::time_point(10s); });
+        std::vector<std::unique_ptr<test_body>> all;
+        for (auto const& each : row.held) {
+            all.push_back(std::make_unique<test_body>(budget));
+            REQUIRE(all.back()->hold.resize(each.bytes));
+            all.back()->hold.rank(each.rank, yuccabeam::time_point(each.since));
+        }
+        memory_hold grows(budget);
+        CHECK(grows.resize(row.wanted) == row.granted);
+        for (std::size_t i = 0; i < all.size(); ++i)
+            CHECK(all[i]->evicted == row.evicted[i]);
+    }
+}
--- a/src/yuccabeam/http1/parser.cpp
+++ b/src/yuccabeam/http1/parser.cpp
@@ -286,6 +286,23 @@
     return self_->head_done;
 }
 
+std::size_t parser::held_bytes() const {
+    // Strings double their storage as they grow.
+    return self_->head.fields.capacity() * sizeof(http_field) +
+           (self_->head_done ? 0 : 2 * self_->consumed_before_head_end);
+}
+
+std::size_t memory_of(message_head const& head) {
+    auto const inline_bytes = std::string().capacity();
+    auto const heap = [&](std::string const& text) {
+        return text.capacity() > inline_bytes ? text.capacity() + 1 : 0;
+    };
+    auto out = heap(head.target) + head.fields.capacity() * sizeof(http_field);
+    for (auto const& field : head.fields)
+        out += heap(field.name) + heap(field.value);
+    return out;
+}
+
 void append_fields(std::string& out, http_fields const& fields) {
     for (auto const& field : fields)
         out.append(field.name).append(": ").append(field.value).append("\r\n");
--- a/src/yuccabeam/http1/response_reader.cpp
+++ b/src/yuccabeam/http1/response_reader.cpp
@@ -81,7 +81,7 @@
 
 void response_reader::discard() {
     state_ = reading_state::too_large;
-    body = std::string();
+    release(body);
     hold.resize(0);
 }
 
--- a/src/yuccabeam/http1/server.cpp
+++ b/src/yuccabeam/http1/server.cpp
@@ -12,9 +12,9 @@
 
 // Delay after a failed accept, for example without a free file descriptor.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
-
-// As for responses, unread bytes count as memory of the process.
-constexpr int receive_buffer_bytes = 128 << 10;
+// Connections beyond the limit that are open to send 503. Further ones are
+// closed at once.
+constexpr std::size_t most_refusals_at_once = 64;
 
 } // namespace
 
@@ -35,10 +35,17 @@
 
 void server::implementation::add(tcp::socket socket) {
     ++counters.accepted;
+    auto const limit = options.max_connections;
+    if (limit != 0 && open.size() >= limit && memory)
+        memory->evict_connection();
+    bool const full = limit != 0 && open.size() >= limit;
+    counters.connections_refused += full ? 1 : 0;
+    if (full && open.size() >= limit + most_refusals_at_once)
+        return;
     auto connection = std::make_shared<http1::connection>(shared_from_this(),
                                                           std::move(socket));
     open.insert(connection);
-    connection->start();
+    connection->start(full);
 }
 
 // Closing the acceptor would reset the connections in its queue, on which a
@@ -62,10 +69,11 @@
 }
 
 server::server(asio::any_io_executor executor, limits_source limits,
-               handler handler, std::shared_ptr<memory_budget> memory)
+               handler handler, std::shared_ptr<memory_budget> memory,
+               server_options options)
     : self_(std::make_shared<implementation>(
           std::move(executor), std::move(limits), std::move(handler),
-          std::move(memory))) {}
+          std::move(memory), options)) {}
 
 server::~server() {
     stop_accepting();
@@ -86,8 +94,7 @@
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error)
         acceptor.set_option(
-            asio::socket_base::receive_buffer_size(receive_buffer_bytes),
-            error);
+            asio::socket_base::receive_buffer_size(most_socket_bytes), error);
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
@@ -133,6 +140,10 @@
     return self_->open.size();
 }
 
+server_options const& server::options() const {
+    return self_->options;
+}
+
 server_counters const& server::counters() const {
     return self_->counters;
 }
--- a/src/yuccabeam/http1/server_implementation.hpp
+++ b/src/yuccabeam/http1/server_implementation.hpp
@@ -10,6 +10,10 @@
 
 using asio::ip::tcp;
 
+// Size of a connection's receive buffer. As for responses, unread bytes count
+// as memory of the process.
+constexpr std::size_t most_socket_bytes = 128 << 10;
+
 class connection;
 using connection_ptr = std::shared_ptr<connection>;
 
@@ -19,19 +23,22 @@
     server::limits_source limits;
     server::handler handler;
     std::shared_ptr<memory_budget> memory;
+    server_options options;
     tcp::acceptor acceptor;
     net::one_shot_timer accept_timer;
     std::unordered_set<connection_ptr> open;
     std::size_t active = 0;
     bool closing = false;
     server_counters counters;
+    std::size_t socket_bytes = 0; ///< kernel buffers beyond the least size
 
     implementation(asio::any_io_executor executor, limits_source limits,
                    server::handler handler,
-                   std::shared_ptr<memory_budget> memory)
+                   std::shared_ptr<memory_budget> memory,
+                   server_options options)
         : executor(executor), limits(std::move(limits)),
           handler(std::move(handler)), memory(std::move(memory)),
-          acceptor(executor), accept_timer(executor) {}
+          options(options), acceptor(executor), accept_timer(executor) {}
 
     void accept();
     void retry_accept();
--- a/src/yuccabeam/http1/server_memory_test.cpp
+++ b/src/yuccabeam/http1/server_memory_test.cpp
@@ -16,8 +16,9 @@
 /// A server that answers each request with a body of the wanted size.
 struct fixture {
     asio::io_context context;
+    // With this clock no connection counts as stalled.
     std::shared_ptr<memory_budget> memory =
-        std::make_shared<memory_budget>(limit);
+        std::make_shared<memory_budget>(limit, [] { return time_point{}; });
     std::size_t handled = 0;
     std::size_t answer_bytes = 2;
     server under_test{
