--- a/src/yuccabeam/http1/server.cpp
+++ b/src/yuccabeam/http1/server.cpp
@@ -1,433 +1,20 @@
 #include "yuccabeam/http1/server.hpp"
 
+#include "connection.hpp"
+#include "server_implementation.hpp"
 #include "yuccabeam/adapters/address.hpp"
-#include "yuccabeam/adapters/clock.hpp"
-#include "yuccabeam/net/one_shot_timer.hpp"
 
-#include <algorithm>
-#include <array>
-#include <asio.hpp>
-#include <unordered_set>
 #include <utility>
 
 namespace yuccabeam::http1 {
 
 namespace {
 
-using adapters::boot_now;
-using asio::ip::tcp;
-
-constexpr std::size_t read_size = 8 << 10;
-// Limit of buffered input that a caller sends before the response to its
-// previous request.
-constexpr std::size_t max_pipelined_bytes = 64 << 10;
-// Time for the caller to read the last response. Closing a socket with unread
-// input resets the connection, which may discard a response in transit.
-constexpr std::chrono::milliseconds linger{1'000};
 // Delay after a failed accept, for example without a free file descriptor.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
-
-// As for responses, unread bytes count as memory of the process.
-constexpr int receive_buffer_bytes = 128 << 10;
-
-class connection;
-using connection_ptr = std::shared_ptr<connection>;
-
-} // namespace
-
-struct server::implementation
-    : std::enable_shared_from_this<server::implementation> {
-    asio::any_io_executor executor;
-    server::limits_source limits;
-    server::handler handler;
-    std::shared_ptr<memory_budget> memory;
-    tcp::acceptor acceptor;
-    net::one_shot_timer accept_timer;
-    std::unordered_set<connection_ptr> open;
-    std::size_t active = 0;
-    bool closing = false;
-    server_counters counters;
-
-    implementation(asio::any_io_executor executor, limits_source limits,
-                   server::handler handler,
-                   std::shared_ptr<memory_budget> memory)
-        : executor(executor), limits(std::move(limits)),
-          handler(std::move(handler)), memory(std::move(memory)),
-          acceptor(executor), accept_timer(executor) {}
-
-    void accept();
-    void retry_accept();
-    void accept_waiting();
-    void add(tcp::socket socket);
-};
-
-namespace {
-
-// For a request whose body has no room now.
-http_field const retry_soon{"Retry-After", "1"};
-
-class connection : public std::enable_shared_from_this<connection> {
-public:
-    connection(std::shared_ptr<server::implementation> server,
-               tcp::socket socket)
-        : server_(std::move(server)), socket_(std::move(socket)),
-          timer_(socket_.get_executor()),
-          parser_(message_kind::request,
-                  {[this](message_head& head) { return on_head(head); },
-                   [this](std::string_view part) { on_body(part); }}) {}
-
-    void start() {
-        std::error_code ignored;
-        socket_.set_option(tcp::no_delay(true), ignored);
-        arm(server_->limits().idle_timeout);
-        read();
-    }
-
-    void close_if_idle() {
-        std::error_code ignored;
-        if (state_ == state::reading && !parser_.started() && input_.empty() &&
-            socket_.available(ignored) == 0)
-            close();
-    }
-
-    void respond(std::uint64_t serial, outgoing_response response) {
-        if (state_ != state::responding || serial != serial_ || sending_)
-            return;
-        if (response.abort) {
-            end_request();
-            close();
-            return;
-        }
-        send(std::move(response), request_keep_alive_ && !server_->closing);
-    }
-
-    void set_disconnect_callback(std::uint64_t serial,
-                                 std::function<void()> callback) {
-        if (state_ == state::responding && serial == serial_)
-            on_disconnect_ = std::move(callback);
-        else if (state_ == state::closed && serial == serial_)
-            callback();
-    }
-
-private:
-    enum class state { reading, responding, lingering, closed };
-
-    void arm(std::chrono::milliseconds after) {
-        timer_.start(after,
-                     [self = shared_from_this()] { self->on_timeout(); });
-    }
-
-    void on_timeout() {
-        if (state_ == state::lingering ||
-            (state_ == state::reading && !parser_.started())) {
-            close();
-        } else if (state_ == state::reading) {
-            ++server_->counters.head_timeouts;
-            reject(408);
-        }
-    }
-
-    void read() {
-        if (reading_ || state_ == state::closed)
-            return;
-        reading_ = true;
-        socket_.async_read_some(asio::buffer(buffer_),
-                                [self = shared_from_this()](
-                                    std::error_code error, std::size_t size) {
-                                    self->reading_ = false;
-                                    self->on_read(error, size);
-                                });
-    }
-
-    void on_read(std::error_code error, std::size_t size) {
-        if (state_ == state::closed)
-            return;
-        if (error) {
-            on_caller_disconnected();
-            return;
-        }
-        if (state_ == state::lingering) {
-            read();
-            return;
-        }
-        input_.append(buffer_.data(), size);
-        if (state_ == state::reading)
-            process();
-        if (state_ != state::closed && input_.size() < max_pipelined_bytes)
-            read();
-    }
-
-    void on_caller_disconnected() {
-        if (state_ == state::responding && !sending_) {
-            ++server_->counters.callers_gone;
-            auto callback = std::exchange(on_disconnect_, nullptr);
-            end_request();
-            close();
-            if (callback)
-                callback();
-            return;
-        }
-        if (state_ == state::responding)
-            end_request();
-        close();
-    }
-
-    void process() {
-        if (input_.empty())
-            return;
-        if (!parser_.started()) {
-            first_byte_ = boot_now();
-            arm(server_->limits().head_timeout);
-        }
-        auto const used = parser_.feed(input_);
-        input_.erase(0, used);
-        if (state_ != state::reading)
-            return;
-        auto const limits = server_->limits();
-        if (rejection_status_ != 0)
-            reject(rejection_status_);
-        else if (parser_.failed()) {
-            ++server_->counters.rejected_by_parser;
-            reject(400);
-        } else if (parser_.head_bytes() > limits.max_head_bytes)
-            reject(431);
-        else if (parser_.complete())
-            dispatch();
-    }
-
-    bool on_head(message_head& head) {
-        auto const limits = server_->limits();
-        request_.head = head;
-        if (head.framing == body_framing::length &&
-            head.content_length > limits.max_body_bytes)
-            rejection_status_ = 413;
-        if (std::ranges::count_if(head.fields,
-                                  [](http_field const& field) {
-                                      return same_field_name(field.name,
-                                                             "Host");
-                                  }) > 1 ||
-            head.method == "CONNECT" || head.target.empty() ||
-            head.target.front() != '/')
-            rejection_status_ = 400;
-        if (rejection_status_ == 0 && head.framing != body_framing::none &&
-            same_field_name(field_value(head.fields, "Expect"), "100-continue"))
-            send_continue();
-        // The head is complete; restarts the timeout for the body.
-        arm(limits.head_timeout);
-        hold_request_body();
-        return false;
-    }
-
-    void hold_request_body() {
-        request_.hold = memory_hold(server_->memory);
-        request_.hold.on_evict([weak = weak_from_this()] {
-            if (auto const self = weak.lock())
-                self->drop_request_body();
-        });
-    }
-
-    // The response is sent later, as another body is growing meanwhile.
-    void drop_request_body() {
-        rejection_status_ = 503;
-        ++server_->counters.rejected_without_memory;
-        request_.body = std::string();
-        request_.hold.resize(0);
-        asio::post(server_->executor, [self = shared_from_this()] {
-            if (self->state_ == state::reading)
-                self->reject(self->rejection_status_);
-        });
-    }
-
-    void on_body(std::string_view part) {
-        if (rejection_status_ != 0)
-            return;
-        if (request_.body.size() + part.size() >
-            server_->limits().max_body_bytes) {
-            rejection_status_ = 413;
-            return;
-        }
-        auto const& head = request_.head;
-        auto const expected =
-            head.framing == body_framing::length
-                ? static_cast<std::size_t>(head.content_length)
-                : 0;
-        if (!append_held(request_.body, part, expected, request_.hold)) {
-            ++server_->counters.rejected_without_memory;
-            rejection_status_ = 503;
-            return;
-        }
-        arm(server_->limits().head_timeout);
-    }
-
-    void send_continue() {
-        static constexpr std::string_view text =
-            "HTTP/1.1 100 Continue\r\n\r\n";
-        asio::async_write(socket_, asio::buffer(text),
-                          [self = shared_from_this()](auto...) {});
-    }
-
-    void reject(int status) {
-        begin_response();
-        request_.body = std::string();
-        request_.hold = {};
-        outgoing_response response;
-        response.status = status;
-        if (status == 503)
-            response.fields.push_back(retry_soon);
-        send(std::move(response), false);
-    }
-
-    void begin_response() {
-        timer_.cancel();
-        state_ = state::responding;
-        ++serial_;
-        ++server_->active;
-    }
-
-    void dispatch();
-
-    void end_request() {
-        --server_->active;
-        on_disconnect_ = nullptr;
-    }
-
-    void send(outgoing_response response, bool keep) {
-        sending_ = true;
-        on_disconnect_ = nullptr;
-        bool const head_only = request_.head.method == "HEAD";
-        out_ = "HTTP/1.1 " + std::to_string(response.status) + " ";
-        out_.append(reason_phrase(response.status)).append("\r\n");
-        if (!head_only && response.status != 204 && response.status != 304)
-            out_.append("Content-Length: ")
-                .append(std::to_string(response.body.size()))
-                .append("\r\n");
-        out_.append(keep ? "" : "Connection: close\r\n");
-        append_fields(out_, response.fields);
-        body_ = head_only ? std::string() : std::move(response.body);
-        body_hold_ = std::move(response.hold);
-        body_hold_.on_evict([weak = weak_from_this()] {
-            if (auto const self = weak.lock())
-                self->drop_response();
-        });
-        std::array<asio::const_buffer, 2> const parts = {asio::buffer(out_),
-                                                         asio::buffer(body_)};
-        asio::async_write(socket_, parts,
-                          [self = shared_from_this(),
-                           keep](std::error_code error, std::size_t) {
-                              self->on_sent(error, keep);
-                          });
-    }
-
-    // Ends a response that its caller reads too slowly.
-    void drop_response() {
-        ++server_->counters.responses_evicted;
-        body_hold_.resize(0);
-        asio::post(server_->executor, [self = shared_from_this()] {
-            if (self->state_ == state::responding)
-                self->end_request();
-            self->close();
-        });
-    }
-
-    void on_sent(std::error_code error, bool keep) {
-        if (state_ != state::responding)
-            return;
-        sending_ = false;
-        end_request();
-        body_hold_ = {};
-        if (error) {
-            close();
-            return;
-        }
-        if (keep)
-            next_request();
-        else
-            linger_close();
-    }
-
-    void next_request() {
-        state_ = state::reading;
-        parser_.restart();
-        request_ = {};
-        rejection_status_ = 0;
-        body_.clear();
-        body_.shrink_to_fit();
-        arm(server_->limits().idle_timeout);
-        process();
-        if (input_.size() < max_pipelined_bytes)
-            read();
-    }
-
-    void linger_close() {
-        state_ = state::lingering;
-        std::error_code ignored;
-        socket_.shutdown(tcp::socket::shutdown_send, ignored);
-        arm(linger);
-        read();
-    }
-
-    void close() {
-        if (state_ == state::closed)
-            return;
-        state_ = state::closed;
-        timer_.cancel();
-        std::error_code ignored;
-        socket_.close(ignored);
-        server_->open.erase(shared_from_this());
-    }
-
-    std::shared_ptr<server::implementation> server_;
-    tcp::socket socket_;
-    net::one_shot_timer timer_;
-    parser parser_;
-    state state_ = state::reading;
-    bool reading_ = false;
-    bool sending_ = false;
-    bool request_keep_alive_ = true;
-    int rejection_status_ = 0;
-    std::uint64_t serial_ = 0;
-    time_point first_byte_{};
-    incoming_request request_;
-    std::function<void()> on_disconnect_;
-    std::string input_;
-    std::string out_;
-    std::string body_;
-    memory_hold body_hold_;
-    std::array<char, read_size> buffer_{};
-};
-
-class connection_responder : public responder {
-public:
-    connection_responder(connection_ptr connection, std::uint64_t serial)
-        : connection_(std::move(connection)), serial_(serial) {}
-
-    void send(outgoing_response response) override {
-        connection_->respond(serial_, std::move(response));
-    }
-
-    void on_disconnect(std::function<void()> callback) override {
-        connection_->set_disconnect_callback(serial_, std::move(callback));
-    }
-
-private:
-    connection_ptr connection_;
-    std::uint64_t serial_;
-};
-
-void connection::dispatch() {
-    begin_response();
-    ++server_->counters.requests;
-    request_.first_byte = first_byte_;
-    request_keep_alive_ = request_.head.keep_alive;
-    incoming_request request;
-    request.head = request_.head;
-    request.body = std::move(request_.body);
-    request_.hold.on_evict(nullptr);
-    request.hold = std::move(request_.hold);
-    request.first_byte = first_byte_;
-    server_->handler(std::move(request), std::make_shared<connection_responder>(
-                                             shared_from_this(), serial_));
-}
+// Connections beyond the limit that are open to send 503. Further ones are
+// closed at once.
+constexpr std::size_t most_refusals_at_once = 64;
 
 } // namespace
 
@@ -448,10 +35,17 @@
 
 void server::implementation::add(tcp::socket socket) {
     ++counters.accepted;
+    auto const limit = options.max_connections;
+    if (limit != 0 && open.size() >= limit && memory)
+        memory->evict_connection();
+    bool const full = limit != 0 && open.size() >= limit;
+    counters.connections_refused += full ? 1 : 0;
+    if (full && open.size() >= limit + most_refusals_at_once)
+        return;
     auto connection = std::make_shared<http1::connection>(shared_from_this(),
                                                           std::move(socket));
     open.insert(connection);
-    connection->start();
+    connection->start(full);
 }
 
 // Closing the acceptor would reset the connections in its queue, on which a
@@ -475,10 +69,11 @@
 }
 
 server::server(asio::any_io_executor executor, limits_source limits,
-               handler handler, std::shared_ptr<memory_budget> memory)
+               handler handler, std::shared_ptr<memory_budget> memory,
+               server_options options)
     : self_(std::make_shared<implementation>(
           std::move(executor), std::move(limits), std::move(handler),
-          std::move(memory))) {}
+          std::move(memory), options)) {}
 
 server::~server() {
     stop_accepting();
@@ -499,8 +94,7 @@
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error)
         acceptor.set_option(
-            asio::socket_base::receive_buffer_size(receive_buffer_bytes),
-            error);
+            asio::socket_base::receive_buffer_size(most_socket_bytes), error);
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
@@ -546,6 +140,10 @@
     return self_->open.size();
 }
 
+server_options const& server::options() const {
+    return self_->options;
+}
+
 server_counters const& server::counters() const {
     return self_->counters;
 }
