--- a/src/yuccabeam/gateway/request_router.cpp
+++ b/src/yuccabeam/gateway/request_router.cpp
@@ -63,7 +63,7 @@
                           policies_.policy().revision,
                           accounts.required(),
                           std::move(identity.account),
-                          std::move(identity.key)};
+                          identity.key};
     if (routed.account && routed.account->rank) {
         routed.route.rank = *routed.account->rank;
         routed.route.priority = priority_of_rank(routed.route.rank);
