Take a response without an era for what it says unless it has content

The comparison with the newest known era also turned answers down that name no era, such as a 410 or a 404 for a lease: the copy would not have been listed and the registration not renewed by a store that names its era only in content. Only an older era that is named ends such a call; listings and watches need the known era as before.

--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -85,7 +85,8 @@
                           self->on_era(era, boot_now());
                           // An answer that was given before the store's return
                           // describes a state that is lost.
-                          if (era < self->era_)
+                          // Responses to errors may name no era.
+                          if (era > 0 && era < self->era_)
                               status = store_status::failed;
                       }
                       handler(status, std::move(result));
@@ -132,7 +133,7 @@
     auto const era = era_of(response);
     bool const first = listing_revision_ == 0;
     // Pages of two eras are no listing of either.
-    if (!page || !mirror::set_era(*page, era) ||
+    if (!page || !mirror::set_era(*page, era) || era < era_ ||
         (!first && mirror::era_of(listing_revision_) != era)) {
         fail(plan, store_status::failed, response);
         return;
@@ -182,8 +183,7 @@
                        ? format_.read_changes(response.body)
                        : std::nullopt;
     auto const era = era_of(response);
-    if (!changes || !mirror::set_era(*changes, era) ||
-        era < mirror::era_of(after)) {
+    if (!changes || !mirror::set_era(*changes, era) || era < era_) {
         fail(plan, status, response);
         return;
     }
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -229,6 +229,15 @@
     CHECK(f.sync->counters().listings == 3);
 }
 
+// Guards against a store's error that is ignored, as it names no era.
+TEST_CASE("a lost history without an era leads to a listing") {
+    fixture f(
+        {{body_in_era(2, "9 a")}, {body("", "410")}, {body_in_era(2, "11 b")}});
+    REQUIRE(f.reaches(revision_in(2, 11)));
+    CHECK(f.sync->counters().failures == 0);
+    CHECK(f.sync->counters().listings == 2);
+}
+
 // Guards against the state before a return that arrives late.
 TEST_CASE("an answer of an older era is not applied") {
     fixture f({{body_in_era(2, "3 a")},
