Check that nothing waits while a service has room

Cause: the model counted waits beside free slots and the targets in use, but no test asserted them.

Change: with up to twelve daemons, no request may wait while less than 0.3 of the slots are in use, or while less than 0.7 of the targets got requests in the last 2 s.

--- a/src/yuccabeam/placement/service_admission_loads_test.cpp
+++ b/src/yuccabeam/placement/service_admission_loads_test.cpp
@@ -65,6 +65,13 @@
             if (seed == 7)
                 show(std::string(load) + ", " + fleet.name, with, rest);
             check(with, rest, fleet.prompt);
+            // Nothing waits while the service has room, or while less than 0.7
+            // of its targets get requests for 2 s.
+            if (fleet.prompt) {
+                CHECK(with.waits_with_room == 0);
+                CHECK(static_cast<double>(with.least_targets_used) >=
+                      0.7 * targets);
+            }
         }
 }
 
--- a/src/yuccabeam/placement/service_world.hpp
+++ b/src/yuccabeam/placement/service_world.hpp
@@ -68,6 +68,7 @@
     std::size_t queued = 0;        ///< requests that had to wait
     std::size_t left_in_queue = 0; ///< at the end
     bool short_at_end = false;
+    /// Targets that got requests in the last 2 s, while requests were queued.
     std::size_t least_targets_used = targets;
     std::size_t waits_with_room = 0; ///< looks that left requests queued
                                      ///< although 0.7 of the slots were free
@@ -125,6 +126,7 @@
     struct target_state {
         std::size_t busy = 0;
         std::deque<std::size_t> queue;
+        time_point sent_at{}; ///< the last request
     };
 
     void schedule(time_point at, event_kind kind, std::size_t index) {
@@ -209,7 +211,7 @@
         std::size_t used = 0;
         for (auto const& target : state_) {
             in_flight += target.busy + target.queue.size();
-            used += target.busy > 0;
+            used += now_ - target.sent_at < 2s;
         }
         if (daemons_[daemon].queued() == 0)
             return;
@@ -241,6 +243,7 @@
             load(request.daemon, one) <= load(request.daemon, two) ? one : two;
         ++own_[request.daemon][request.target];
         auto& target = state_[request.target];
+        target.sent_at = now_;
         if (target.busy < slots_each)
             begin(target, id);
         else
