Test that a request without room to run keeps its body

Without the guard in connection::dispatch the room for a request was made from its own body, and it reached the handler without it: the test failed with the guard removed (no 503, handler called). http1_test passes, 47 cases.

--- a/src/yuccabeam/http1/server_crowd_test.cpp
+++ b/src/yuccabeam/http1/server_crowd_test.cpp
@@ -14,15 +14,15 @@
 /// A server with a limit of connections that answers `/wait` never.
 struct fixture {
     asio::io_context context;
-    std::shared_ptr<memory_budget> memory =
-        std::make_shared<memory_budget>(100'000'000);
+    std::shared_ptr<memory_budget> memory;
     server_options options;
     caller_limits limits;
     std::vector<responder_ptr> waiting;
     server under_test;
 
-    explicit fixture(server_options given)
-        : options(given),
+    explicit fixture(server_options given,
+                     std::size_t memory_limit = 100'000'000)
+        : memory(std::make_shared<memory_budget>(memory_limit)), options(given),
           under_test(
               context.get_executor(), [this] { return limits; },
               [this](incoming_request const& request,
@@ -131,3 +131,18 @@
     CHECK(f.waiting.empty());
     CHECK(f.under_test.counters().head_timeouts == 1);
 }
+
+// Guards against a request that runs without the body that its caller sent.
+TEST_CASE("a request without room to run is refused and keeps its body until "
+          "then") {
+    constexpr std::size_t body_bytes = 175'000;
+    fixture f({.max_connections = 2}, 200'000);
+    auto caller = f.connect("");
+    auto const text = "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                      std::to_string(body_bytes) + "\r\n\r\n" +
+                      std::string(body_bytes, 'b');
+    asio::async_write(caller, asio::buffer(text), [](auto...) {});
+    CHECK(f.read(caller, 12).find(" 503 ") != std::string::npos);
+    CHECK(f.waiting.empty());
+    CHECK(f.under_test.counters().requests_refused == 1);
+}
