--- a/src/yuccabeam/http1/odd_response_test.cpp
+++ b/src/yuccabeam/http1/odd_response_test.cpp
@@ -22,6 +22,13 @@
     return out;
 }
 
+response_reader_options awaited() {
+    response_reader_options out;
+    out.match_field = "Id";
+    out.match_value = "r1";
+    return out;
+}
+
 /// Answers as soon as it has read the beginning of a request, and ends the
 /// connection while the client still writes.
 class early_peer {
@@ -130,7 +137,7 @@
         for (std::size_t const piece : {1, 2, 7}) {
             CAPTURE(odd.guards);
             CAPTURE(piece);
-            response_reader reader({.match_field = "Id", .match_value = "r1"});
+            response_reader reader(awaited());
             for (std::size_t at = 0; at < odd.text.size(); at += piece)
                 reader.feed(std::string_view(odd.text).substr(at, piece));
             CHECK(reader.state() == reading_state::malformed);
@@ -154,7 +161,7 @@
     };
     for (auto const& row : rows) {
         CAPTURE(std::string(row.what));
-        response_reader reader({.match_field = "Id", .match_value = "r1"});
+        response_reader reader(awaited());
         reader.feed("HTTP/1.1 200 OK\r\nId: r1\r\n" + row.field +
                     "\r\nContent-Length: 2\r\n\r\nab");
         REQUIRE(reader.state() == reading_state::complete);
