--- a/include/yuccabeam/http1/memory_budget.hpp
+++ b/include/yuccabeam/http1/memory_budget.hpp
@@ -109,7 +109,9 @@
 };
 
 /// Frees a string's storage. Assigning an empty string would keep it.
-inline void release(std::string& text) { std::string().swap(text); }
+inline void release(std::string& text) {
+    std::string().swap(text);
+}
 
 /// Appends a part to a body whose memory is held by `hold`. `expected` is the
 /// size of the whole body, or 0 if it isn't known. Returns false if the budget
