--- a/include/yuccabeam/placement/target_table.hpp
+++ b/include/yuccabeam/placement/target_table.hpp
@@ -6,6 +6,7 @@
 #include "yuccabeam/placement/outcome.hpp"
 #include "yuccabeam/placement/service_loads.hpp"
 #include "yuccabeam/placement/service_room.hpp"
+#include "yuccabeam/placement/target_change.hpp"
 #include "yuccabeam/placement/target_load.hpp"
 #include "yuccabeam/placement/trial_allowance.hpp"
 #include "yuccabeam/values/ids.hpp"
@@ -208,37 +209,6 @@
     std::optional<target_evidence> evidence; ///< the last
 };
 
-/// What a daemon knows of the time at which the entries missing in a list were
-/// removed.
-struct removal_evidence {
-    /// The entries existed at this time; by default until the list arrived.
-    std::optional<time_point> listed_until = std::nullopt;
-    /// End of the last known period in which the store answered no daemon for
-    /// so long that entries of live targets may have expired.
-    std::optional<time_point> store_returned_at = std::nullopt;
-
-    bool operator==(removal_evidence const&) const = default;
-};
-
-enum class target_change_kind : std::uint8_t {
-    joined, ///< a new target, a new incarnation or a changed registration
-    leaving,
-    vanished, ///< its entry was removed
-    expired,  ///< its entry has probably expired in an outage of the store
-    returned
-};
-
-std::string_view to_string(target_change_kind value);
-
-/// A difference between two successive lists of targets.
-struct target_change {
-    target_id target;
-    service_id service;
-    target_change_kind kind = target_change_kind::joined;
-    /// End of the use of a target whose entry is gone.
-    std::optional<time_point> usable_until = std::nullopt;
-};
-
 /// The state of all targets as known to this daemon, and the choice of a
 /// target.
 ///
--- a/src/yuccabeam/ctl/log_story_test.cpp
+++ b/src/yuccabeam/ctl/log_story_test.cpp
@@ -136,12 +136,12 @@
         {"an entry of an account that was left out long before",
          at("00.000", "a",
             "event=account_rejected revision=4 account=acme "
-            "reason=\"/api_keys: expected a list of keys\"") +
+            "reason=\"/keys: expected a list of keys\"") +
              at("59.000", "a",
                 "event=request_ended id=r1 outcome=not_run "
                 "reason=unknown_key policy=4"),
          "or it had none; the entry of account acme was left out of "
-         "configuration 4 (/api_keys: expected a list of keys)."},
+         "configuration 4 (/keys: expected a list of keys)."},
         {"entries of another configuration and of another daemon",
          at("00.000", "a",
             "event=account_rejected revision=3 account=x reason=y") +
--- a/src/yuccabeam/gateway/policy_check_test.cpp
+++ b/src/yuccabeam/gateway/policy_check_test.cpp
@@ -47,9 +47,9 @@
     auto const warning = finding_kind::warning;
     row const rows[] = {
         {[](auto& p) {
-             p.rejected = {{"x", "/rate_per_s: expected a number"}};
+             p.rejected = {{"x", "/rate: expected a number"}};
          },
-         error, "account x", "is left out: /rate_per_s"},
+         error, "account x", "is left out: /rate"},
         {[](auto& p) { p.routes.push_back(route_for("c", "/a/")); }, error,
          "route c", "route a takes them"},
         {[](auto& p) {
