Let the fuzz target of responses check status and field names

A response that is taken must have a status of 200 to 599, names that are tokens and values without control bytes.

--- a/fuzz/response_reader_fuzz.cpp
+++ b/fuzz/response_reader_fuzz.cpp
@@ -28,10 +28,13 @@
     if (reader.state() != reading_state::complete)
         return;
     auto const& head = reader.head;
-    require(head.status >= 200);
+    require(head.status >= 200 && yuccabeam::adapters::is_status(head.status));
     require(field_value(head.fields, "Id") == "mine");
-    for (auto const& field : head.fields)
+    for (auto const& field : head.fields) {
         require(!same_field_name(field.name, "Id") || field.value == "mine");
+        require(yuccabeam::adapters::is_field_name(field.name));
+        require(yuccabeam::adapters::is_field_value(field.value));
+    }
     if (without_body)
         require(reader.body.empty());
     else if (head.framing == body_framing::length)
