--- a/src/yuccabeam/http1/odd_responses.hpp
+++ b/src/yuccabeam/http1/odd_responses.hpp
@@ -35,6 +35,10 @@
         {"a negative status", status("HTTP/1.1 -20 OK")},
         {"a folded line", head("Folded: a\r\n b")},
         {"a folded line with a tab", head("Folded: a\r\n\tb")},
+        {"a CR that ends no line", head("Field: a\rOther: b")},
+        {"a CR that ends the start line", "HTTP/1.1 200 OK\rId: r1\n"
+                                          "Proof: p\r\nContent-Length: "
+                                          "2\r\n\r\nab"},
         {"a blank before the first field", head(" Field: a")},
         {"a control byte in a value", head("Field: a\x01"
                                            "b")},
--- a/src/yuccabeam/http1/parser.cpp
+++ b/src/yuccabeam/http1/parser.cpp
@@ -19,7 +19,8 @@
 }
 
 /// Checks the lines of a head for what http_parser accepts although it is no
-/// HTTP: folded lines, and status codes that don't have three digits.
+/// HTTP: folded lines, a CR that ends no line, and status codes that don't have
+/// three digits.
 class head_line_check {
 public:
     /// Reads the next bytes, up to the end of the head. Returns false once a
@@ -28,8 +29,11 @@
         for (char const c : bytes) {
             if (ended_ || !valid_)
                 break;
+            bool const after_cr = std::exchange(after_cr_, c == '\r');
             if (c == '\n')
                 end_line(of_response);
+            else if (after_cr)
+                valid_ = false;
             else if (c != '\r')
                 add(c);
         }
@@ -71,6 +75,7 @@
     std::string start_;      ///< the beginning of the start line
     std::size_t length_ = 0; ///< of the current line so far
     bool start_line_read_ = false;
+    bool after_cr_ = false;
     bool ended_ = false;
     bool valid_ = true;
 };
