--- a/include/yuccabeam/gateway/quota_service.hpp
+++ b/include/yuccabeam/gateway/quota_service.hpp
@@ -29,8 +29,13 @@
     duration renewal = std::chrono::milliseconds(300); ///< of a loan
     /// A request without an answer is sent again after this time.
     duration resend = std::chrono::milliseconds(60);
-    /// A request that no pool has decided is refused after this time.
-    duration max_wait = std::chrono::milliseconds(600);
+    /// A request that no pool has decided is refused after this time. After a
+    /// restart of the whole fleet the pools get loans after `loan_hold`; a
+    /// refusal before that would lose requests within their quotas.
+    duration max_wait = std::chrono::milliseconds(1'300);
+    /// Longest time between two questions of a request, which grows by `resend`
+    /// with each.
+    duration longest_resend = std::chrono::milliseconds(180);
     /// A pool is silent after this many messages without an answer, each sent
     /// `resend` after the one before or later, the first of them at least
     /// `silence` ago.
--- a/src/yuccabeam/gateway/quota_service.cpp
+++ b/src/yuccabeam/gateway/quota_service.cpp
@@ -212,9 +212,10 @@
 
 void quota_service::ask(std::uint64_t number, waiting_request& request,
                         time_point now) {
-    request.next_send = now + options_.resend;
     auto const pool = pool_to_ask(request);
     ++request.asked;
+    request.next_send = now + std::min(options_.resend * request.asked,
+                                       options_.longest_resend);
     if (pool.empty())
         return;
     if (pool != options_.address) {
