--- a/include/yuccabeam/gateway/settings.hpp
+++ b/include/yuccabeam/gateway/settings.hpp
@@ -28,9 +28,8 @@
     std::vector<std::string> failure_domains; ///< all of the deployment
     /// Cores that this VM may use. Larger VMs become relays first.
     double processor_share = 1;
-    /// Memory that this process may use, in MB (10^6 bytes). Message bodies
-    /// and connections of callers
-    /// take up to half of it together.
+    /// Memory that this process may use, in MB (10^6 bytes). Message bodies and
+    /// connections of callers take up to half of it together.
     double memory_mb = 256;
     /// Descriptors that this process may open, some of them for files.
     std::size_t max_descriptors = 4'096;
