--- a/src/yuccabeam/adapters/curl_handle.cpp
+++ b/src/yuccabeam/adapters/curl_handle.cpp
@@ -84,7 +84,7 @@
     if (line.starts_with("HTTP/")) {
         reply = {};
         reply.status = status_of_line(line);
-        return is_status(reply.status);
+        return is_status(reply.status) && is_field_value(line);
     }
     if (!is_field_line(line))
         return false;
