--- a/src/yuccabeam/gateway/quota_service.cpp
+++ b/src/yuccabeam/gateway/quota_service.cpp
@@ -214,8 +214,10 @@
                         time_point now) {
     auto const pool = pool_to_ask(request);
     ++request.asked;
-    request.next_send = now + std::min(options_.resend * request.asked,
-                                       options_.longest_resend);
+    auto const pause =
+        std::min(options_.resend * request.asked, options_.longest_resend);
+    request.next_send =
+        std::min(now + pause, request.since + options_.max_wait);
     if (pool.empty())
         return;
     if (pool != options_.address) {
