--- a/review/standin-2/mixed.cpp
+++ b/review/standin-2/mixed.cpp
@@ -46,14 +46,14 @@
             auto const id = in.field("x-attempt-id");
             auto const signature = note(id, worker, status);
             std::string const body = status == 200 ? "in stock: 4" : "failed";
-            if (!one.write("HTTP/1.1 " +
-                           std::string(status == 200
-                                           ? "200 OK"
-                                           : "500 Internal Server Error") +
-                           "\r\nX-Attempt-Id: " + id +
-                           "\r\nX-Response-Signature: " + signature +
-                           "\r\nContent-Length: " +
-                           std::to_string(body.size()) + "\r\n\r\n" + body))
+            if (!one.write(
+                    "HTTP/1.1 " +
+                    std::string(status == 200 ? "200 OK"
+                                              : "500 Internal Server Error") +
+                    "\r\nX-Attempt-Id: " + id +
+                    "\r\nX-Response-Signature: " + signature +
+                    "\r\nContent-Length: " + std::to_string(body.size()) +
+                    "\r\n\r\n" + body))
                 return;
             if (worker == 0 && is_garbled())
                 second_due = true;
@@ -138,8 +138,7 @@
             for (int i = 0; clock::now() < end; ++i) {
                 if (!one)
                     one = std::make_unique<channel>(connect_to(daemon.front()));
-                auto const id =
-                    "9c41d07b" + std::to_string(c * 1'000'000 + i);
+                auto const id = "9c41d07b" + std::to_string(c * 1'000'000 + i);
                 message answer;
                 ++sent;
                 if (!one->write("GET /lepu270/2f HTTP/1.1\r\n"
--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -44,7 +44,8 @@
 
 class record {
 public:
-    explicit record(std::string const& path) : file_(std::fopen(path.c_str(), "w")) {
+    explicit record(std::string const& path)
+        : file_(std::fopen(path.c_str(), "w")) {
         if (!file_)
             throw std::runtime_error("can't write " + path);
     }
@@ -140,7 +141,7 @@
 // --- HTTP --------------------------------------------------------------------
 
 struct message {
-    std::string start; ///< the start line
+    std::string start;                         ///< the start line
     std::map<std::string, std::string> fields; ///< names in lower case
     std::string body;
 
@@ -177,8 +178,7 @@
 
     /// Reads one message. False if the channel ended first, or on a time-out.
     bool read(message& out, int timeout_ms = 30'000) {
-        auto const end =
-            clock::now() + std::chrono::milliseconds(timeout_ms);
+        auto const end = clock::now() + std::chrono::milliseconds(timeout_ms);
         std::size_t head_end = 0;
         while ((head_end = input_.find("\r\n\r\n")) == std::string::npos)
             if (!receive(end))
@@ -212,10 +212,9 @@
 
 private:
     bool receive(clock::time_point end) {
-        auto const left =
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                end - clock::now())
-                .count();
+        auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
+                              end - clock::now())
+                              .count();
         pollfd wait{fd_, POLLIN, 0};
         if (fd_ < 0 || left <= 0 || poll(&wait, 1, static_cast<int>(left)) <= 0)
             return false;
@@ -404,8 +403,7 @@
             json events = json::array();
             auto const look = [&] {
                 for (auto const& one : events_)
-                    if (one.revision > after &&
-                        one.key.rfind(prefix, 0) == 0)
+                    if (one.revision > after && one.key.rfind(prefix, 0) == 0)
                         events.push_back(row(one));
                 return !events.empty();
             };
@@ -484,14 +482,14 @@
 
 inline std::string beat(std::string const& address, std::string const& service,
                         std::string const& state = "ready", int seq = 4) {
-    return json{{"address", address},
-                {"info",
-                 {{"service", service},
-                  {"version", "v1"},
-                  {"zone", "ga-central-a"},
-                  {"slots", 6}}},
-                {"status",
-                 {{"state", state}, {"seq", seq}, {"cold_left_s", 0}}}}
+    return json{
+        {"address", address},
+        {"info",
+         {{"service", service},
+          {"version", "v1"},
+          {"zone", "ga-central-a"},
+          {"slots", 6}}},
+        {"status", {{"state", state}, {"seq", seq}, {"cold_left_s", 0}}}}
         .dump();
 }
 
--- a/review/standin-2/twice.cpp
+++ b/review/standin-2/twice.cpp
@@ -25,9 +25,8 @@
                 continue;
             }
             auto const id = in.field("x-attempt-id");
-            bool const garbled = worker == 0 &&
-                                 ++answers % garbled_each == 0 &&
-                                 with_trouble();
+            bool const garbled =
+                worker == 0 && ++answers % garbled_each == 0 && with_trouble();
             note(id, worker);
             sleep_ms(5);
             if (garbled) {
@@ -92,12 +91,12 @@
         platform.put("servers/i-7f3a91c" + std::to_string(i),
                      beat(listeners.back()->address(), "wuno96b"));
     }
-    platform.put("op/config",
-                 configuration(7,
-                               {route("r-b9wu3fe", "hulo84.example",
-                                      "/xapu221/ny95/", "non_idempotent",
-                                      "wuno96b", 4, 2)},
-                               {"wuno96b"}));
+    platform.put(
+        "op/config",
+        configuration(7,
+                      {route("r-b9wu3fe", "hulo84.example", "/xapu221/ny95/",
+                             "non_idempotent", "wuno96b", 4, 2)},
+                      {"wuno96b"}));
     gateway daemon(argv[1], argv[2], "edge-ga-central-a-1", platform.address());
     if (!daemon.wait_ready()) {
         log.write("the gateway isn't ready");
@@ -112,17 +111,15 @@
         threads.emplace_back([&, c] {
             for (int i = 0; clock::now() < end; ++i) {
                 channel one(connect_to(daemon.front()));
-                auto const id =
-                    "9c41d07b" + std::to_string(c * 1'000'000 + i);
+                auto const id = "9c41d07b" + std::to_string(c * 1'000'000 + i);
                 std::string const body(1'200, 'o');
                 message answer;
                 int status = 0;
-                if (one.write("POST /xapu221/ny95/2f HTTP/1.1\r\n"
-                              "Host: hulo84.example\r\nX-Attempt-Id: " +
-                              id +
-                              "\r\nX-Deadline-Ms: 8000\r\nContent-Length: " +
-                              std::to_string(body.size()) + "\r\n\r\n" +
-                              body) &&
+                if (one.write(
+                        "POST /xapu221/ny95/2f HTTP/1.1\r\n"
+                        "Host: hulo84.example\r\nX-Attempt-Id: " +
+                        id + "\r\nX-Deadline-Ms: 8000\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body) &&
                     one.read(answer, 9'000))
                     status = answer.status();
                 if (status != 200)
