--- a/review/standin-2/mixed.cpp
+++ b/review/standin-2/mixed.cpp
@@ -11,9 +11,9 @@
 constexpr int workers = 3; // one of them is faulty
 constexpr int clients = 8;
 constexpr int run_s = 15;
-// Of the faulty worker's answers, 1 in 40 is followed by a part of a second
-// one, and 1 in 80 is a 500 (error_share of the site file: 0.012).
-constexpr int garbled_each = 40;
+// Of the faulty worker's answers, 1 in 60 is followed by a part of a second
+// one, and 1 in 120 is a 500 (error_share of the site file: 0.012).
+constexpr int garbled_each = 60;
 
 struct ran {
     std::string id;
