--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -495,8 +495,6 @@
 
 // --- a gateway ---------------------------------------------------------------
 
-extern "C" char** environ;
-
 /// A gateway process, started as the deploy file says, with the settings that
 /// the template gives for a machine of a small deployment.
 class gateway {
