Log how far a failed transfer got, and how long a copy was behind

A store call or a pull that times out said neither how many bytes had arrived nor for how long nothing did, so a full link looked like a silent peer. store_lost and pull_failed now have bytes, announced, ms and idle_ms, and copy_caught_up says for how long requests were decided with a copy older than a peer's.

--- a/include/yuccabeam/http1/client.hpp
+++ b/include/yuccabeam/http1/client.hpp
@@ -63,6 +63,8 @@
     std::uint64_t bytes_read = 0; ///< heads and skipped responses included
     duration connect_time{};
     duration total_time{};
+    /// Time without a byte of the response before the end.
+    duration idle_time{};
 };
 
 struct client_options {
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -61,6 +61,7 @@
     bool may_retry(service_id const& id, time_point now);
     void ask_for_credit(time_point now);
     void catch_up(time_point now);
+    void log_caught_up(duration behind);
     void pull_from_seed(time_point now);
 
     // Requests.
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -16,6 +16,8 @@
 // Time after a peer has announced a newer revision during which its changes may
 // still arrive by datagram. After it they are pulled.
 constexpr duration pull_delay = std::chrono::milliseconds(60);
+// A copy that was older than a peer's for at least this long is logged.
+constexpr duration behind_log_threshold = std::chrono::milliseconds(500);
 // Daemons that are heard in this time share a line of the log.
 constexpr duration peer_line_period = std::chrono::milliseconds(100);
 // A first copy of this age is not used before it is confirmed.
@@ -276,6 +278,8 @@
     auto const ahead =
         peers.table().peer_with_newer_copy(store->mirror().revision(), now);
     if (!ahead) {
+        if (behind_since)
+            log_caught_up(now - *behind_since);
         behind_since.reset();
         if (!store->loaded() && store->last_call_failed())
             pull_from_seed(now);
@@ -287,6 +291,14 @@
         store->pull(ahead->control, now);
 }
 
+void implementation::log_caught_up(duration behind) {
+    if (behind >= behind_log_threshold)
+        log.write(
+            "copy_caught_up",
+            {{"behind_ms", std::to_string(to_milliseconds(behind))},
+             {"store_revision", std::to_string(store->mirror().revision())}});
+}
+
 void implementation::pull_from_seed(time_point now) {
     if (settings.seeds.empty())
         return;
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -46,6 +46,19 @@
     return "unknown";
 }
 
+// How far a call got: a full link and a silent peer look alike otherwise.
+void append_transfer(telemetry::log_fields& fields,
+                     client_result const& result) {
+    auto const add = [&](char const* name, auto value) {
+        fields.push_back({name, std::to_string(value)});
+    };
+    add("bytes", result.bytes_read);
+    if (result.head.framing == http1::body_framing::length)
+        add("announced", result.head.content_length);
+    add("ms", to_milliseconds(result.total_time));
+    add("idle_ms", to_milliseconds(result.idle_time));
+}
+
 } // namespace
 
 store_sync::store_sync(asio::any_io_executor executor, http1::client& client,
@@ -230,13 +243,16 @@
 void store_sync::fail(planned_call const& plan, store_status status,
                       client_result const& response) {
     ++counters_.failures;
-    if (!last_call_failed())
-        log_.write("store_lost",
-                   {{"call", std::string(to_string(plan.kind))},
-                    {"status", std::string(to_string(status))},
-                    {"transport", std::string(to_string(response.status))},
-                    {"http", std::to_string(response.head.status)},
-                    {"revision", std::to_string(mirror_.revision())}});
+    if (!last_call_failed()) {
+        telemetry::log_fields fields{
+            {"call", std::string(to_string(plan.kind))},
+            {"status", std::string(to_string(status))},
+            {"transport", std::string(to_string(response.status))},
+            {"http", std::to_string(response.head.status)},
+            {"revision", std::to_string(mirror_.revision())}};
+        append_transfer(fields, response);
+        log_.write("store_lost", fields);
+    }
     schedule_.on_failure(plan.kind, boot_now());
 }
 
@@ -284,11 +300,12 @@
                                   : std::nullopt;
         if (!received) {
             ++self->counters_.pull_failures;
-            self->log_.write(
-                "pull_failed",
-                {{"peer", control_address},
-                 {"transport", std::string(to_string(result.status))},
-                 {"http", std::to_string(result.head.status)}});
+            telemetry::log_fields fields{
+                {"peer", control_address},
+                {"transport", std::string(to_string(result.status))},
+                {"http", std::to_string(result.head.status)}};
+            append_transfer(fields, result);
+            self->log_.write("pull_failed", fields);
             return;
         }
         self->callbacks_.peers_discovered(received->peers);
--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -186,7 +186,7 @@
           timer_(pool_->executor), reader_(reader_options()) {}
 
     void start() {
-        started_ = boot_now();
+        started_ = last_byte_at_ = boot_now();
         if (request_.reuse)
             if (auto socket = pool_->take(request_.address)) {
                 socket_ = std::move(*socket);
@@ -315,6 +315,7 @@
             on_read_error(error);
             return;
         }
+        last_byte_at_ = boot_now();
         result_.response_started = true;
         result_.bytes_read += size;
         if (reader_.feed({buffer_.data(), size}) == reading_state::incomplete)
@@ -373,7 +374,9 @@
             return;
         ended_ = true;
         result_.status = status;
-        result_.total_time = boot_now() - started_;
+        auto const now = boot_now();
+        result_.total_time = now - started_;
+        result_.idle_time = now - last_byte_at_;
         result_.head = std::move(reader_.head);
         result_.body = std::move(reader_.body);
         reader_.hold.on_evict(nullptr);
@@ -411,6 +414,7 @@
     std::string head_text_;
     std::array<char, read_size> buffer_{};
     time_point started_{};
+    time_point last_byte_at_{};
     bool written_ = false;
     bool ended_ = false;
 };
