End transfers of the store's content by lack of progress, not by their time

Listings, watches, checks and pulls had a limit for the whole transfer, and a configuration of 843 KB takes longer than that on a link of 11 Mbit/s. Each attempt began at the first byte again and shared the link with the others.

The limits now hold up to the first byte; after it a transfer ends after 500 ms without a byte, or 6 s in total. While a response arrives, neither a check nor a pull starts, and a copy is confirmed as of the first byte.

The test 'a response that keeps arriving is applied however long it takes' fails without the change; 'a response that stops in the middle is asked for again' shows that a silent store is still given up.

--- a/include/yuccabeam/gateway/store_schedule.hpp
+++ b/include/yuccabeam/gateway/store_schedule.hpp
@@ -14,12 +14,13 @@
 struct store_schedule_options {
     /// The store may answer the first listing from an older state.
     bool stale_first_listing = true;
+    /// Time to the first byte of a listing.
     std::chrono::milliseconds list_timeout{1'500};
     /// Time for which the store holds a watch open when nothing changes. Each
     /// response confirms the copies of the daemons that receive the watcher's
     /// heartbeat, so this is well below `max_copy_age`.
     std::chrono::milliseconds watch_wait{600};
-    /// Added to `watch_wait` for the timeout of a watch.
+    /// Added to `watch_wait` for the time to the first byte of a watch.
     std::chrono::milliseconds watch_timeout_margin{450};
     /// A daemon whose copy was not confirmed for this long checks it with the
     /// store directly.
@@ -29,8 +30,8 @@
     /// before they call the store. It is also added to the pauses between
     /// retries, so that some daemon calls soon after the store's return.
     std::chrono::milliseconds check_delay{};
-    /// Initial timeout of a check. It doubles with each consecutive failure,
-    /// up to `list_timeout`.
+    /// Initial time to the first byte of a check. It doubles with each
+    /// consecutive failure, up to `list_timeout`.
     std::chrono::milliseconds check_timeout{300};
     /// Pause between a watch that returned changes and the next one, so that
     /// changes in quick succession are read by one call.
@@ -50,15 +51,15 @@
     store_call kind = store_call::list;
     /// The store may answer a listing from an older state, at a lower price.
     bool may_be_stale = false;
-    std::chrono::milliseconds wait{}; ///< how long the store may wait
-    std::chrono::milliseconds timeout{};
+    std::chrono::milliseconds wait{};    ///< how long the store may wait
+    std::chrono::milliseconds timeout{}; ///< to the first byte of the answer
     time_point started_at{};
 };
 
-/// The latest time at which the store has certainly given an answer that is
-/// read at `now`. After the call's timeout it may have waited in a socket while
-/// this process was paused.
-time_point time_of_answer(planned_call const& call, time_point now);
+/// The latest time at which the store has certainly given an answer whose first
+/// byte was read at `first_byte`. After the call's timeout it may have waited
+/// in a socket while this process was paused.
+time_point time_of_answer(planned_call const& call, time_point first_byte);
 
 /// Schedules a daemon's reads of the store: one listing, then watches while the
 /// daemon should watch the store, and retries with backoff after failures.
@@ -78,10 +79,14 @@
     explicit store_schedule(store_schedule_options options = {})
         : options_(options), next_listing_stale_(options.stale_first_listing) {}
 
-    /// Returns the next call if one is due, and marks it as in flight.
-    std::optional<planned_call> next(bool should_watch, time_point now);
+    /// Returns the next call if one is due, and marks it as in flight. While a
+    /// response is being received no check is due: a second one would only take
+    /// its part of the link.
+    std::optional<planned_call> next(bool should_watch, time_point now,
+                                     bool receiving = false);
 
-    void on_answer(planned_call const& call, bool has_changes, time_point now);
+    void on_answer(planned_call const& call, bool has_changes,
+                   time_point first_byte);
     void on_failure(store_call kind, time_point now);
     /// The store no longer keeps the changes since this daemon's revision.
     void on_history_gone(store_call kind);
@@ -104,7 +109,7 @@
     bool last_call_failed() const { return consecutive_failures_ > 0; }
 
 private:
-    bool check_due(time_point now) const;
+    bool check_due(time_point now, bool receiving) const;
     bool& in_flight(store_call kind);
     std::chrono::milliseconds check_timeout() const;
 
--- a/include/yuccabeam/gateway/store_sync.hpp
+++ b/include/yuccabeam/gateway/store_sync.hpp
@@ -20,6 +20,10 @@
     store_schedule_options schedule;
     store_availability_options availability;
     std::chrono::milliseconds call_timeout{1'500};
+    /// Of listings, watches, checks and pulls, whose responses may be large.
+    http1::progress_limits progress;
+    /// Time to the first byte of a pull.
+    std::chrono::milliseconds pull_timeout{700};
     std::chrono::milliseconds entry_retry{1'000};
     std::chrono::seconds entry_ttl{45};
     std::chrono::seconds entry_renewal{15};
@@ -91,14 +95,23 @@
 
     void call(http1::client_request request, std::chrono::milliseconds timeout,
               handler handler);
+    /// The same for a response that may be large.
+    void read(http1::client_request request, planned_call const& plan,
+              handler handler);
+    void address_store(http1::client_request& request,
+                       std::chrono::milliseconds timeout);
+    void receive(http1::client_request request, http1::client::handler handler);
+    http1::client::handler store_handler(handler handler);
     void list(planned_call const& plan, std::string after);
     void on_page(planned_call const& plan,
                  http1::client_result const& response);
     void watch(planned_call const& plan);
     void on_watch(planned_call const& plan, store_status status,
                   http1::client_result const& response, std::uint64_t after);
-    void succeed(planned_call const& plan, bool has_changes);
-    void on_answer(planned_call const& plan);
+    void succeed(planned_call const& plan, http1::client_result const& response,
+                 bool has_changes);
+    void on_answer(planned_call const& plan,
+                   http1::client_result const& response);
     void fail(planned_call const& plan, store_status status,
               http1::client_result const& response);
     std::uint64_t era_of(http1::client_result const& response) const;
@@ -122,6 +135,9 @@
     std::vector<mirror::stored_item> listed_;
     std::uint64_t listing_revision_ = 0;
 
+    /// Large responses that have begun to arrive. They share the link, so no
+    /// other is asked for meanwhile.
+    int receiving_ = 0;
     bool pulling_ = false;
     time_point next_pull_{};
 
--- a/include/yuccabeam/http1/client.hpp
+++ b/include/yuccabeam/http1/client.hpp
@@ -9,10 +9,20 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace yuccabeam::http1 {
 
+/// Limits of a response whose size the peer decides. The time that it takes
+/// depends on the link, so they end it when it makes no progress.
+struct progress_limits {
+    /// Time without a byte of the response.
+    std::chrono::milliseconds idle{500};
+    /// Of the whole exchange, against a peer that sends byte by byte.
+    std::chrono::milliseconds whole{6'000};
+};
+
 /// A request and the options of its exchange.
 struct client_request {
     std::string address; ///< `IP:port`
@@ -26,6 +36,12 @@
     /// Time from the connection's establishment, or from the start on a pooled
     /// connection, to the end of the response.
     std::chrono::milliseconds timeout{5'000};
+    /// With these, `timeout` ends at the first byte of the response, and a
+    /// response that has begun goes on while they allow it.
+    std::optional<progress_limits> progress;
+    /// Called for each received part of the response with the bytes read so
+    /// far. It must not end the exchange.
+    std::function<void(std::uint64_t bytes)> on_progress{};
     /// Uses an idle connection from the pool if there is one. The peer may
     /// close such a connection while the request is sent, so a request that
     /// must not be lost opens a new connection.
@@ -63,6 +79,8 @@
     std::uint64_t bytes_read = 0; ///< heads and skipped responses included
     duration connect_time{};
     duration total_time{};
+    /// Until the first byte of the response was read.
+    duration first_byte_time{};
     /// Time without a byte of the response before the end.
     duration idle_time{};
 };
--- a/src/yuccabeam/gateway/store_schedule.cpp
+++ b/src/yuccabeam/gateway/store_schedule.cpp
@@ -5,8 +5,9 @@
 
 namespace yuccabeam::gateway {
 
-time_point time_of_answer(planned_call const& call, time_point now) {
-    return now - call.started_at > call.timeout ? call.started_at : now;
+time_point time_of_answer(planned_call const& call, time_point first_byte) {
+    return first_byte - call.started_at > call.timeout ? call.started_at
+                                                       : first_byte;
 }
 
 bool& store_schedule::in_flight(store_call kind) {
@@ -16,9 +17,9 @@
 
 // Checks are tracked separately from watches: a check is needed precisely when
 // a watch receives no response.
-std::optional<planned_call> store_schedule::next(bool should_watch,
-                                                 time_point now) {
-    if (check_due(now)) {
+std::optional<planned_call>
+store_schedule::next(bool should_watch, time_point now, bool receiving) {
+    if (check_due(now, receiving)) {
         check_in_flight_ = true;
         return planned_call{store_call::check, false, {}, check_timeout(), now};
     }
@@ -40,8 +41,9 @@
                         now};
 }
 
-bool store_schedule::check_due(time_point now) const {
-    return !listing_due_ && !check_in_flight_ && now >= next_check_ &&
+bool store_schedule::check_due(time_point now, bool receiving) const {
+    return !listing_due_ && !check_in_flight_ && !receiving &&
+           now >= next_check_ &&
            copy_age(now) >= options_.max_copy_age + options_.check_delay;
 }
 
@@ -52,18 +54,18 @@
 }
 
 void store_schedule::on_answer(planned_call const& call, bool has_changes,
-                               time_point now) {
+                               time_point first_byte) {
     in_flight(call.kind) = false;
     consecutive_failures_ = 0;
     if (!call.may_be_stale)
-        on_confirmed(time_of_answer(call, now));
+        on_confirmed(time_of_answer(call, first_byte));
     if (call.kind == store_call::list)
         listing_due_ = false;
     if (call.kind != store_call::watch)
         return;
     watching_ = true;
     if (has_changes)
-        next_call_ = now + options_.batch_pause;
+        next_call_ = first_byte + options_.batch_pause;
 }
 
 void store_schedule::on_failure(store_call kind, time_point now) {
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -13,7 +13,6 @@
 using adapters::boot_now;
 using http1::client_result;
 
-constexpr std::chrono::milliseconds pull_timeout{700};
 constexpr std::chrono::milliseconds min_pull_interval{100};
 
 std::string_view to_string(store_status status) {
@@ -59,6 +58,11 @@
     add("idle_ms", to_milliseconds(result.idle_time));
 }
 
+// The store answered at the latest then. A large response takes longer.
+time_point first_byte_at(client_result const& response) {
+    return boot_now() - (response.total_time - response.first_byte_time);
+}
+
 } // namespace
 
 store_sync::store_sync(asio::any_io_executor executor, http1::client& client,
@@ -71,7 +75,8 @@
 
 void store_sync::tick(time_point now) {
     maintain_entry(now);
-    auto const plan = schedule_.next(callbacks_.should_watch(), now);
+    auto const plan =
+        schedule_.next(callbacks_.should_watch(), now, receiving_ > 0);
     if (!plan)
         return;
     if (plan->kind == store_call::list) {
@@ -85,27 +90,57 @@
 
 void store_sync::call(http1::client_request request,
                       std::chrono::milliseconds timeout, handler handler) {
+    address_store(request, timeout);
+    client_.start(std::move(request), store_handler(std::move(handler)));
+}
+
+void store_sync::read(http1::client_request request, planned_call const& plan,
+                      handler handler) {
+    address_store(request, plan.timeout);
+    receive(std::move(request), store_handler(std::move(handler)));
+}
+
+void store_sync::address_store(http1::client_request& request,
+                               std::chrono::milliseconds timeout) {
     ++counters_.calls;
     request.address = options_.address;
     request.connect_timeout = std::min(options_.call_timeout, timeout);
     request.timeout = timeout;
+}
+
+void store_sync::receive(http1::client_request request,
+                         http1::client::handler handler) {
+    auto const begun = std::make_shared<bool>(false);
+    request.progress = options_.progress;
+    request.on_progress = [this, begun](std::uint64_t) {
+        if (!std::exchange(*begun, true))
+            ++receiving_;
+    };
     client_.start(std::move(request),
-                  [self = shared_from_this(),
+                  [self = shared_from_this(), begun,
                    handler = std::move(handler)](client_result result) {
-                      auto status = self->format_.status(result);
-                      if (status != store_status::failed) {
-                          auto const era = self->era_of(result);
-                          self->on_era(era, boot_now());
-                          // An answer that was given before the store's return
-                          // describes a state that is lost.
-                          // Responses to errors may name no era.
-                          if (era > 0 && era < self->era_)
-                              status = store_status::failed;
-                      }
-                      handler(status, std::move(result));
+                      if (*begun)
+                          --self->receiving_;
+                      handler(std::move(result));
                   });
 }
 
+http1::client::handler store_sync::store_handler(handler handler) {
+    return [self = shared_from_this(),
+            handler = std::move(handler)](client_result result) {
+        auto status = self->format_.status(result);
+        if (status != store_status::failed) {
+            auto const era = self->era_of(result);
+            self->on_era(era, boot_now());
+            // An answer that was given before the store's return describes a
+            // state that is lost. Responses to errors may name no era.
+            if (era > 0 && era < self->era_)
+                status = store_status::failed;
+        }
+        handler(status, std::move(result));
+    };
+}
+
 std::uint64_t store_sync::era_of(client_result const& response) const {
     if (!format_.era)
         return 0;
@@ -131,7 +166,7 @@
 
 void store_sync::list(planned_call const& plan, std::string after) {
     ++counters_.listings;
-    call(format_.list("", after, plan.may_be_stale), plan.timeout,
+    read(format_.list("", after, plan.may_be_stale), plan,
          [this, plan](store_status status, client_result response) {
              if (status == store_status::ok)
                  on_page(plan, response);
@@ -160,7 +195,7 @@
         list(plan, last);
         return;
     }
-    succeed(plan, true);
+    succeed(plan, response, true);
     mirror_.replace(std::move(listed_), listing_revision_);
     listed_.clear();
     callbacks_.changed(mirror_.changes_since(0), true);
@@ -178,7 +213,7 @@
         ++counters_.checks;
         request.reuse = false;
     }
-    call(std::move(request), plan.timeout,
+    read(std::move(request), plan,
          [this, plan, after](store_status status, client_result response) {
              on_watch(plan, status, response, after);
          });
@@ -188,7 +223,7 @@
                           client_result const& response, std::uint64_t after) {
     if (status == store_status::history_gone) {
         log_.write("store_history_gone", {{"after", std::to_string(after)}});
-        on_answer(plan);
+        on_answer(plan, response);
         schedule_.on_history_gone(plan.kind);
         return;
     }
@@ -202,7 +237,7 @@
     }
     // The number may exist in both eras, with other changes before it.
     if (era > mirror::era_of(after)) {
-        on_answer(plan);
+        on_answer(plan, response);
         schedule_.on_history_gone(plan.kind);
         return;
     }
@@ -213,7 +248,7 @@
                      std::to_string(to_milliseconds(copy_age(boot_now())))},
                     {"after", std::to_string(after)},
                     {"revision", std::to_string(changes->revision)}});
-    succeed(plan, has_changes);
+    succeed(plan, response, has_changes);
     changes->base = after;
     mirror_.apply(*changes);
     if (has_changes)
@@ -221,17 +256,19 @@
     callbacks_.confirmed();
 }
 
-void store_sync::succeed(planned_call const& plan, bool has_changes) {
+void store_sync::succeed(planned_call const& plan,
+                         client_result const& response, bool has_changes) {
     if (last_call_failed())
         log_.write("store_regained",
                    {{"revision", std::to_string(mirror_.revision())}});
     changed_after_ = schedule_.confirmed_at();
-    on_answer(plan);
-    schedule_.on_answer(plan, has_changes, boot_now());
+    on_answer(plan, response);
+    schedule_.on_answer(plan, has_changes, first_byte_at(response));
 }
 
-void store_sync::on_answer(planned_call const& plan) {
-    auto const at = time_of_answer(plan, boot_now());
+void store_sync::on_answer(planned_call const& plan,
+                           client_result const& response) {
+    auto const at = time_of_answer(plan, first_byte_at(response));
     auto const before = availability_.period();
     availability_.on_answer(at);
     if (before && availability_.period()->since > before->until)
@@ -281,7 +318,7 @@
 }
 
 void store_sync::pull(std::string const& control_address, time_point now) {
-    if (pulling_ || now < next_pull_)
+    if (pulling_ || receiving_ > 0 || now < next_pull_)
         return;
     pulling_ = true;
     next_pull_ = now + min_pull_interval;
@@ -291,9 +328,9 @@
     request.target =
         "/fleet/changes?after=" + std::to_string(mirror_.revision());
     request.fields = {{"Host", control_address}};
-    request.timeout = pull_timeout;
-    client_.start(std::move(request), [self = shared_from_this(),
-                                       control_address](client_result result) {
+    request.timeout = options_.pull_timeout;
+    receive(std::move(request), [self = shared_from_this(),
+                                 control_address](client_result result) {
         self->pulling_ = false;
         auto const received = result.status == http1::client_status::complete
                                   ? decode_changes(result.body)
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -77,16 +77,15 @@
         std::vector<scripted_peer::reply> replies,
         std::chrono::milliseconds max_copy_age = std::chrono::hours(1),
         bool stale_first_listing = false)
+        : fixture(std::move(replies),
+                  options_of(max_copy_age, stale_first_listing)) {}
+
+    fixture(std::vector<scripted_peer::reply> replies,
+            store_sync_options options)
         : store(context, std::move(replies)) {
-        store_sync_options options;
         options.address = store.address();
         options.schedule.watch_wait = std::chrono::milliseconds(20);
-        // Long enough that a scripted response arrives in time on a busy VM.
-        options.schedule.watch_timeout_margin =
-            std::chrono::milliseconds(1'000);
         options.schedule.batch_pause = {};
-        options.schedule.stale_first_listing = stale_first_listing;
-        options.schedule.max_copy_age = max_copy_age;
         store_sync_callbacks callbacks;
         callbacks.changed = [](auto const&, bool) {};
         callbacks.should_watch = [] { return true; };
@@ -98,6 +97,16 @@
         sync->withdraw();
     }
 
+    static store_sync_options options_of(std::chrono::milliseconds max_copy_age,
+                                         bool stale_first_listing) {
+        store_sync_options out;
+        // Long enough that a scripted response arrives in time on a busy VM.
+        out.schedule.watch_timeout_margin = std::chrono::milliseconds(1'000);
+        out.schedule.stale_first_listing = stale_first_listing;
+        out.schedule.max_copy_age = max_copy_age;
+        return out;
+    }
+
     // Wakes the event loop periodically, as the daemon's ticker does.
     void wake() {
         ticker.expires_after(std::chrono::milliseconds(10));
@@ -105,11 +114,16 @@
     }
 
     bool reaches(std::uint64_t revision) {
+        // Ends a test that would hang; no other result depends on it.
+        constexpr std::chrono::seconds guard_time{10};
+        auto const end = adapters::boot_now() + guard_time;
         wake();
-        return http1::run_until(context, [&] {
+        http1::run_until(context, [&] {
             sync->tick(adapters::boot_now());
-            return sync->mirror().revision() >= revision;
+            return sync->mirror().revision() >= revision ||
+                   adapters::boot_now() >= end;
         });
+        return sync->mirror().revision() >= revision;
     }
 };
 
@@ -124,6 +138,61 @@
     CHECK_FALSE(f.sync->last_call_failed());
 }
 
+// Guards against limits on the whole time of a transfer whose size the store
+// decides: on a slow link every attempt would end before it is complete.
+TEST_CASE("a response that keeps arriving is applied however long it takes") {
+    constexpr std::chrono::milliseconds timeout{300};
+    // The copy gets too old during the second transfer, not before it.
+    constexpr std::chrono::milliseconds max_copy_age{800};
+    constexpr std::chrono::milliseconds pause{10};
+    // The pauses alone exceed the timeouts.
+    std::string const first_key(40, 'a');
+    std::string const second_key(100, 'b');
+    auto const slowly = [&](std::string const& text) {
+        auto const whole = body(text);
+        auto const start = whole.size() - text.size();
+        scripted_peer::reply out{whole.substr(0, start)};
+        out.slow = text;
+        out.pause = pause;
+        return out;
+    };
+    auto options = fixture::options_of(max_copy_age, false);
+    options.schedule.list_timeout = timeout;
+    options.schedule.check_timeout = timeout;
+    options.schedule.watch_timeout_margin = timeout;
+    fixture f({slowly("3 " + first_key), slowly("5 " + second_key)}, options);
+    REQUIRE(f.reaches(5));
+    CHECK(f.sync->counters().failures == 0);
+    // Neither a check nor another watch took a part of the link.
+    CHECK(f.store.requests().size() == 2);
+}
+
+// Guards against a transfer that waits for the rest of a response without end.
+TEST_CASE("a response that stops in the middle is asked for again") {
+    auto const half = [](std::string const& text) {
+        auto const whole = body(text);
+        return whole.substr(0, whole.size() - 1);
+    };
+    auto options = fixture::options_of(std::chrono::hours(1), false);
+    options.progress.idle = std::chrono::milliseconds(50);
+    fixture f({{body("3 a")}, {half("4 b")}, {body("5 c")}}, options);
+    REQUIRE(f.reaches(5));
+    CHECK(f.sync->counters().failures == 1);
+    CHECK(f.sync->mirror().find("b") == nullptr);
+}
+
+// Guards against a copy that counts as newer than the store's answer, as its
+// transfer took long.
+TEST_CASE("a copy is confirmed as of the first byte of the answer") {
+    scripted_peer::reply slow{body("5 bbbbbbbbbb")};
+    slow.slow = slow.bytes.substr(slow.bytes.size() - 10);
+    slow.bytes.resize(slow.bytes.size() - 10);
+    slow.pause = std::chrono::milliseconds(20);
+    fixture f({{body("3 a")}, slow});
+    REQUIRE(f.reaches(5));
+    CHECK(f.sync->copy_age(adapters::boot_now()) >= 9 * slow.pause);
+}
+
 // Guards against changes that are read only after a hanging watch times out.
 TEST_CASE("a copy that is no longer confirmed is checked on a separate "
           "connection while a watch hangs") {
--- a/src/yuccabeam/http1/client.cpp
+++ b/src/yuccabeam/http1/client.cpp
@@ -316,8 +316,12 @@
             return;
         }
         last_byte_at_ = boot_now();
+        if (!result_.response_started)
+            result_.first_byte_time = last_byte_at_ - started_;
         result_.response_started = true;
         result_.bytes_read += size;
+        if (request_.on_progress)
+            request_.on_progress(result_.bytes_read);
         if (reader_.feed({buffer_.data(), size}) == reading_state::incomplete)
             read();
         else
@@ -358,13 +362,27 @@
                !reader_.has_trailing_bytes() && !reader_.stray_seen();
     }
 
-    void start_timeout(std::chrono::milliseconds after) {
+    // Time for which a response that has begun may still go on.
+    duration time_left_by_progress() const {
+        if (!request_.progress || !result_.response_started)
+            return {};
+        auto const now = boot_now();
+        auto const& limits = *request_.progress;
+        return std::min<duration>(last_byte_at_ + limits.idle - now,
+                                  started_ + limits.whole - now);
+    }
+
+    void start_timeout(duration after) {
         timer_.start(after,
                      [self = shared_from_this()] { self->on_timeout(); });
     }
 
     // `connect_failed` guarantees that no byte of the request was sent.
     void on_timeout() {
+        if (auto const rest = time_left_by_progress(); rest > duration{}) {
+            start_timeout(rest);
+            return;
+        }
         finish(result_.request_begun ? client_status::timed_out
                                      : client_status::connect_failed);
     }
--- a/src/yuccabeam/http1/scripted_peer.hpp
+++ b/src/yuccabeam/http1/scripted_peer.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <asio.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,6 +25,9 @@
         std::string repeated{};
         /// Sent before the bytes if the connection has served a request.
         std::string prefix_if_reused{};
+        /// Sent after the bytes one by one, with this pause before each.
+        std::string slow{};
+        std::chrono::milliseconds pause{};
     };
 
     scripted_peer(asio::io_context& context, std::vector<reply> replies)
@@ -61,9 +65,11 @@
         std::array<char, 4096> buffer{};
         std::string input;
         std::size_t served = 0;
+        asio::steady_timer timer;
 
         session(tcp::socket socket, scripted_peer& peer)
-            : socket(std::move(socket)), peer(peer) {}
+            : socket(std::move(socket)), peer(peer),
+              timer(this->socket.get_executor()) {}
 
         void read() {
             socket.async_read_some(
@@ -108,12 +114,33 @@
                 repeat(reply.repeated);
                 return;
             }
+            if (!reply.slow.empty()) {
+                send_slowly(reply, 0);
+                return;
+            }
             if (reply.reset)
                 socket.set_option(asio::socket_base::linger(true, 0), ignored);
             if (reply.close || reply.reset)
                 socket.close(ignored);
         }
 
+        void send_slowly(reply const& reply, std::size_t from) {
+            if (from == reply.slow.size())
+                return;
+            timer.expires_after(reply.pause);
+            timer.async_wait([self = shared_from_this(), &reply,
+                              from](std::error_code error) {
+                if (error)
+                    return;
+                asio::async_write(
+                    self->socket, asio::buffer(reply.slow.data() + from, 1),
+                    [self, &reply, from](std::error_code error, std::size_t) {
+                        if (!error)
+                            self->send_slowly(reply, from + 1);
+                    });
+            });
+        }
+
         void repeat(std::string const& bytes) {
             asio::async_write(socket, asio::buffer(bytes),
                               [self = shared_from_this(), &bytes](
