Compress the copies of the store that daemons send each other

A configuration of 2,820 routes made each pull a transfer of 626 KB: half a second of a link of 11 Mbit/s for each peer, on the giver's link and on the receiver's, beside callers' traffic. Compressed with Zstandard (RFC 8878) it is about 35 to 40 KB, and the compressed changes are kept for the next peer that asks for the same ones. A peer that doesn't accept the coding gets them plainly, so that versions can be mixed.

--- a/include/yuccabeam/gateway/control_service.hpp
+++ b/include/yuccabeam/gateway/control_service.hpp
@@ -16,9 +16,10 @@
     std::function<void()> refresh_gauges;
     gateway::counters const& counters;
     std::function<daemon_state()> state;
-    /// The store's changes after `revision`, encoded for a peer; empty while
-    /// this daemon has no copy of the store.
-    std::function<std::string(std::uint64_t revision)> changes_after;
+    /// The store's changes after `revision`, encoded for a peer and compressed
+    /// if it accepts that; empty while this daemon has no copy of the store.
+    std::function<std::string(std::uint64_t revision, bool compressed)>
+        changes_after;
 };
 
 /// Serves the control address: the store's changes for peers that have missed
@@ -32,7 +33,8 @@
     answer(http1::incoming_request const& request) const;
 
 private:
-    http1::outgoing_response answer_changes(std::string_view after) const;
+    http1::outgoing_response answer_changes(std::string_view after,
+                                            bool compressed) const;
 
     control_dependencies dependencies_;
 };
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "gateway_daemon_implementation.hpp"
 
+#include "yuccabeam/gateway/copy_compression.hpp"
 #include "yuccabeam/gateway/daemon_gauges.hpp"
 #include "yuccabeam/gateway/daemon_options.hpp"
 #include "yuccabeam/gateway/drain.hpp"
@@ -166,15 +167,28 @@
                 set_quota_gauges(counters, quotas, boot_now());
             },
             counters, [this] { return state(boot_now()); },
-            [this](std::uint64_t revision) { return changes_after(revision); }};
+            [this](std::uint64_t revision, bool compressed) {
+                return changes_after(revision, compressed);
+            }};
 }
 
-std::string implementation::changes_after(std::uint64_t revision) {
+std::string implementation::changes_after(std::uint64_t revision,
+                                          bool compressed) {
     if (!store->loaded())
         return {};
-    auto addresses = peers.table().addresses();
-    addresses.push_back(settings.peers);
-    return encode_changes(store->mirror().changes_since(revision), addresses);
+    auto const encode = [&] {
+        auto addresses = peers.table().addresses();
+        addresses.push_back(settings.peers);
+        return encode_changes(store->mirror().changes_since(revision),
+                              addresses);
+    };
+    if (!compressed)
+        return encode();
+    // Many peers ask for the same changes when a new configuration spreads.
+    auto const newest = store->mirror().revision();
+    if (last_encoded.from != revision || last_encoded.to != newest)
+        last_encoded = {revision, newest, compress_copy(encode())};
+    return last_encoded.body;
 }
 
 daemon_state implementation::state(time_point now) const {
--- a/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
+++ b/src/yuccabeam/gateway/gateway_daemon_implementation.hpp
@@ -75,7 +75,7 @@
 
     // Control address.
     control_dependencies make_control_dependencies();
-    std::string changes_after(std::uint64_t revision);
+    std::string changes_after(std::uint64_t revision, bool compressed);
     daemon_state state(time_point now) const;
 
     // Startup, readiness and shutdown.
@@ -122,6 +122,14 @@
     time_point next_watch_decision{};
     usage_report usage;
 
+    /// The compressed changes that a peer was sent last.
+    struct encoded_changes {
+        std::uint64_t from = 0; ///< revisions
+        std::uint64_t to = 0;
+        std::string body{};
+    };
+    encoded_changes last_encoded;
+
     active_policy policies;
     serving_gate gate;
     request_router router;
--- a/src/yuccabeam/gateway/queries_test.cpp
+++ b/src/yuccabeam/gateway/queries_test.cpp
@@ -142,13 +142,17 @@
     std::string changes;
     control_service const service(
         {[&] { ++refreshed; }, numbers, [] { return state(); },
-         [&](std::uint64_t revision) {
-             return changes.empty() ? changes
-                                    : changes + std::to_string(revision);
+         [&](std::uint64_t revision, bool compressed) {
+             if (changes.empty())
+                 return changes;
+             return changes + std::to_string(revision) +
+                    (compressed ? " compressed" : "");
          }});
     auto const answer = [&](std::string method, std::string target,
-                            std::string body = {}) {
+                            std::string body = {},
+                            http1::http_fields fields = {}) {
         http1::incoming_request request;
+        request.head.fields = std::move(fields);
         request.head.method = std::move(method);
         request.head.target = std::move(target);
         request.body = std::move(body);
@@ -158,6 +162,13 @@
     changes = "after ";
     CHECK(answer("GET", "/fleet/changes?after=5").body == "after 5");
     CHECK(answer("GET", "/fleet/changes?after=5").status == 200);
+    // A daemon of an earlier version decompresses nothing.
+    auto const compressed = answer("GET", "/fleet/changes?after=5", {},
+                                   {{"Accept-Encoding", "zstd"}});
+    CHECK(compressed.body == "after 5 compressed");
+    CHECK(http1::field_value(compressed.fields, "Content-Encoding") == "zstd");
+    CHECK(http1::field_value(answer("GET", "/fleet/changes?after=5").fields,
+                             "Content-Encoding") == "");
     CHECK(answer("GET", "/metrics").status == 200);
     CHECK(refreshed == 1);
     CHECK(answer("POST", "/", R"({"method":"status","id":1})")
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -1,6 +1,7 @@
 #include "yuccabeam/gateway/store_sync.hpp"
 
 #include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/gateway/copy_compression.hpp"
 #include "yuccabeam/gateway/peer_message.hpp"
 #include "yuccabeam/mirror/store_era.hpp"
 
@@ -58,6 +59,16 @@
     add("idle_ms", to_milliseconds(result.idle_time));
 }
 
+std::optional<changes_and_peers> changes_of(client_result const& response) {
+    if (response.status != http1::client_status::complete)
+        return std::nullopt;
+    if (http1::field_value(response.head.fields, "Content-Encoding") !=
+        copy_coding)
+        return decode_changes(response.body);
+    auto const plain = decompress_copy(response.body);
+    return plain ? decode_changes(*plain) : std::nullopt;
+}
+
 // The store answered at the latest then. A large response takes longer.
 time_point first_byte_at(client_result const& response) {
     return boot_now() - (response.total_time - response.first_byte_time);
@@ -327,27 +338,26 @@
     request.address = control_address;
     request.target =
         "/fleet/changes?after=" + std::to_string(mirror_.revision());
-    request.fields = {{"Host", control_address}};
+    request.fields = {{"Host", control_address},
+                      {"Accept-Encoding", std::string(copy_coding)}};
     request.timeout = options_.pull_timeout;
-    receive(std::move(request), [self = shared_from_this(),
-                                 control_address](client_result result) {
-        self->pulling_ = false;
-        auto const received = result.status == http1::client_status::complete
-                                  ? decode_changes(result.body)
-                                  : std::nullopt;
-        if (!received) {
-            ++self->counters_.pull_failures;
-            telemetry::log_fields fields{
-                {"peer", control_address},
-                {"transport", std::string(to_string(result.status))},
-                {"http", std::to_string(result.head.status)}};
-            append_transfer(fields, result);
-            self->log_.write("pull_failed", fields);
-            return;
-        }
-        self->callbacks_.peers_discovered(received->peers);
-        self->apply_peer_changes(received->changes);
-    });
+    receive(std::move(request),
+            [self = shared_from_this(), control_address](client_result result) {
+                self->pulling_ = false;
+                auto const received = changes_of(result);
+                if (!received) {
+                    ++self->counters_.pull_failures;
+                    telemetry::log_fields fields{
+                        {"peer", control_address},
+                        {"transport", std::string(to_string(result.status))},
+                        {"http", std::to_string(result.head.status)}};
+                    append_transfer(fields, result);
+                    self->log_.write("pull_failed", fields);
+                    return;
+                }
+                self->callbacks_.peers_discovered(received->peers);
+                self->apply_peer_changes(received->changes);
+            });
 }
 
 void store_sync::maintain_entry(time_point now) {
