Let the daemons on the largest VMs of a failure domain watch the store

The watchers were the daemons with the lowest addresses, whatever their links. A configuration that takes 0.04 s at 200 Mbit/s takes 0.7 s and more at 11, and the whole failure domain waits for it, with the targets' changes that follow in the same sequence. Between equal VMs the lowest address decides as before; takeover is unchanged.

--- a/include/yuccabeam/gateway/peer_table.hpp
+++ b/include/yuccabeam/gateway/peer_table.hpp
@@ -29,6 +29,8 @@
     daemon_id self;
     failure_domain_id failure_domain;
     std::size_t failure_domains = 1;
+    /// Processor share of this VM in percent of a core.
+    std::uint32_t processor_percent = 0;
     /// Shortest heartbeat intervals. In a large fleet they are longer: each
     /// daemon receives a heartbeat in `period_per_peer` from its own domain and
     /// as many from the others, so that the cost of a daemon doesn't grow with
@@ -42,8 +44,8 @@
     /// Other daemons take over from a watcher without a heartbeat for this
     /// long.
     duration watcher_timeout = std::chrono::milliseconds(1'100);
-    /// Added for each live daemon of the failure domain with a lower address,
-    /// so that not all of them take over at once. Meanwhile the age of its copy
+    /// Added for each live daemon of the failure domain that is preferred, so
+    /// that not all of them take over at once. Meanwhile the age of its copy
     /// makes each daemon check the store.
     duration takeover_delay = std::chrono::milliseconds(50);
     /// A daemon without a heartbeat for this many intervals is not live.
@@ -56,10 +58,11 @@
 
 /// Membership table of the other daemons, built from their heartbeats.
 ///
-/// In each failure domain the live daemons with the lowest addresses watch the
-/// store and forward its changes; peers whose last store call failed are passed
-/// over. The other daemons watch it themselves only when there was no recent
-/// heartbeat of any watcher.
+/// In each failure domain the live daemons on the largest VMs, of these the
+/// ones with the lowest addresses, watch the store and forward its changes: a
+/// large configuration takes long on the link of a small VM. Peers whose last
+/// store call failed are passed over. The other daemons watch it themselves
+/// only when there was no recent heartbeat of any watcher.
 class peer_table {
 public:
     explicit peer_table(peer_table_options options);
@@ -125,6 +128,9 @@
     void move_to_domain(entry& entry, failure_domain_id const& domain);
     bool heartbeat_within(entry const& entry, time_point now,
                           duration age) const;
+    /// Whether the peer is preferred to this daemon as a watcher.
+    bool is_better_watcher(std::string const& address,
+                           entry const& entry) const;
     bool is_live(entry const& entry, time_point now) const;
 
     peer_table_options options_;
--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -19,6 +19,7 @@
     out.self = {options.address};
     out.failure_domain = options.failure_domain;
     out.failure_domains = options.failure_domains;
+    out.processor_percent = options.processor_percent;
     return out;
 }
 
--- a/src/yuccabeam/gateway/peer_table.cpp
+++ b/src/yuccabeam/gateway/peer_table.cpp
@@ -95,10 +95,18 @@
         entry, now, from_seconds(to_seconds(period) * options_.live_intervals));
 }
 
+bool peer_table::is_better_watcher(std::string const& address,
+                                   entry const& entry) const {
+    auto const theirs = entry.last_heartbeat.processor_percent;
+    if (theirs != options_.processor_percent)
+        return theirs > options_.processor_percent;
+    return address < options_.self.value;
+}
+
 bool peer_table::should_watch(time_point now) const {
     auto const domains = std::max<std::size_t>(options_.failure_domains, 1);
     auto const per_domain = (options_.watchers + domains - 1) / domains;
-    std::size_t live_with_lower_address = 0;
+    std::size_t preferred = 0;
     time_point watcher_heard{};
     for (auto const& [address, entry] : peers_) {
         if (!entry.heartbeat_at)
@@ -106,14 +114,12 @@
         if (entry.last_heartbeat.watching)
             watcher_heard = std::max(watcher_heard, *entry.heartbeat_at);
         if (entry.same_domain && !entry.last_heartbeat.store_call_failed &&
-            address < options_.self.value && is_live(entry, now))
-            ++live_with_lower_address;
+            is_better_watcher(address, entry) && is_live(entry, now))
+            ++preferred;
     }
-    auto const takeover =
-        options_.watcher_timeout +
-        options_.takeover_delay * static_cast<int>(live_with_lower_address);
-    return live_with_lower_address < per_domain ||
-           now - watcher_heard >= takeover;
+    auto const takeover = options_.watcher_timeout +
+                          options_.takeover_delay * static_cast<int>(preferred);
+    return preferred < per_domain || now - watcher_heard >= takeover;
 }
 
 std::optional<heartbeat>
--- a/src/yuccabeam/gateway/peer_test.cpp
+++ b/src/yuccabeam/gateway/peer_test.cpp
@@ -109,6 +109,36 @@
     }
 }
 
+// Guards against watchers whose slow links delay what the whole failure domain
+// learns from them.
+TEST_CASE(
+    "the daemons on the largest VMs of a failure domain watch the store") {
+    struct row {
+        char const* guards;
+        std::uint32_t own;
+        std::uint32_t other;
+        std::string other_address;
+        bool expected;
+    };
+    row const rows[] = {
+        {"a smaller VM with a lower address", 50, 24, "10.0.0.1:7", true},
+        {"a larger VM with a higher address", 24, 50, "10.0.0.9:7", false},
+        {"an equal VM with a lower address", 24, 24, "10.0.0.1:7", false},
+        {"an equal VM with a higher address", 24, 24, "10.0.0.9:7", true},
+    };
+    for (auto const& row : rows) {
+        CAPTURE(std::string(row.guards));
+        peer_table_options options{{"10.0.0.5:7"}, {"a"}, 3};
+        options.processor_percent = row.own;
+        peer_table table(options);
+        auto message = beat(row.other_address, "a");
+        message.watching = true;
+        message.processor_percent = row.other;
+        table.on_heartbeat(message, start);
+        CHECK(table.should_watch(start) == row.expected);
+    }
+}
+
 // Guards against a pool that counts more than a whole quota for one daemon.
 TEST_CASE("a loan of an impossible share is rejected") {
     for (double const share :
