Apply small changes of the store before a large one that is missing

Of changes too large for a datagram, the small ones are now sent at once, and a daemon that is missing changes applies those that it gets after them.

--- a/include/yuccabeam/gateway/peer_link.hpp
+++ b/include/yuccabeam/gateway/peer_link.hpp
@@ -92,9 +92,9 @@
     /// domain: immediately, or batched while the previous report is recent.
     void report_activity(placement::target_activity const& activity,
                          time_point now);
-    /// Forwards changes of the store to the other daemons. For changes too
-    /// large for a datagram it sends a heartbeat with the new revision instead,
-    /// and the peers pull them.
+    /// Forwards changes of the store to the other daemons. Of changes too large
+    /// for a datagram it sends the small ones and a heartbeat with the new
+    /// revision, and the peers pull the others.
     void forward_changes(mirror::store_changes const& changes, time_point now);
 
     peer_table& table() { return table_; }
@@ -114,6 +114,8 @@
     heartbeat own_heartbeat();
     void send_heartbeats(std::vector<std::string> const& addresses);
     std::vector<std::string> same_domain_and_samples(time_point now);
+    void forward_small_changes(change_message message,
+                               std::vector<std::string> const& receivers);
 
     void report_directly(placement::target_activity const& activity,
                          time_point now);
--- a/include/yuccabeam/gateway/store_sync.hpp
+++ b/include/yuccabeam/gateway/store_sync.hpp
@@ -44,6 +44,8 @@
     std::uint64_t checks = 0;
     std::uint64_t pulls = 0;
     std::uint64_t pull_failures = 0;
+    /// Changes applied before others that the copy is missing.
+    std::uint64_t early_changes = 0;
 };
 
 struct store_sync_callbacks {
@@ -70,7 +72,7 @@
     void tick(time_point now);
 
     /// Applies changes that a peer forwarded. Returns false when earlier
-    /// changes are missing from the copy.
+    /// changes are missing from the copy, which keeps its revision then.
     bool apply_peer_changes(mirror::store_changes const& changes);
     /// A peer reported that `revision` was the store's newest at `at`.
     void on_confirmed(std::uint64_t revision, time_point at);
@@ -113,6 +115,7 @@
                        std::chrono::milliseconds timeout);
     void receive(http1::client_request request, http1::client::handler handler);
     http1::client::handler store_handler(handler handler);
+    void apply_early(mirror::store_changes const& changes);
     bool awaits_peers(time_point now) const;
     void on_pulled(std::string const& source,
                    http1::client_result const& response);
--- a/include/yuccabeam/mirror/store_mirror.hpp
+++ b/include/yuccabeam/mirror/store_mirror.hpp
@@ -63,6 +63,13 @@
     /// them.
     bool apply(store_changes const& changes);
 
+    /// Applies changes that are newer than the replica's revision although it
+    /// is missing others before them, so that a small change doesn't wait for a
+    /// large one. The revision stays, and what is missing is still applied
+    /// later. Returns the events that changed something.
+    std::vector<store_event>
+    apply_early(std::vector<store_event> const& events);
+
     /// Changes that a replica at `revision` is missing. The complete state if
     /// the removal history no longer reaches back to `revision`.
     store_changes changes_since(std::uint64_t revision) const;
@@ -72,7 +79,10 @@
     std::vector<stored_item const*> with_prefix(std::string_view prefix) const;
 
 private:
-    void apply_event(store_event const& event);
+    /// Returns whether the event changed something.
+    bool apply_event(store_event const& event);
+    bool has_newer(std::string const& key, std::uint64_t revision) const;
+    std::vector<store_event> changes_after(std::uint64_t revision) const;
     void limit_removal_history();
 
     std::uint64_t revision_ = 0;
--- a/src/yuccabeam/gateway/peer_link.cpp
+++ b/src/yuccabeam/gateway/peer_link.cpp
@@ -13,6 +13,11 @@
 // Daemons of each other failure domain to which a large fleet sends changes of
 // the store, in case the domain has nobody who reads them from the store.
 constexpr std::size_t change_samples = 2;
+// Upper bound of the bytes of an event beside its key and value.
+constexpr std::size_t event_overhead_bytes = 24;
+// Datagrams with small changes sent ahead of large ones; the peers pull the
+// rest.
+constexpr std::size_t max_early_datagrams = 32;
 
 peer_table_options table_options_of(peer_link_options const& options) {
     peer_table_options out;
@@ -172,10 +177,41 @@
         relayed ? same_domain_and_samples(now) : table_.addresses();
     change_message const message{
         {options_.address}, options_.control, relayed, changes};
-    if (encode(message).size() > max_datagram_bytes)
-        send_heartbeats(receivers);
-    else
+    if (encode(message).size() <= max_datagram_bytes) {
         send(message, receivers);
+        return;
+    }
+    forward_small_changes(message, receivers);
+    send_heartbeats(receivers);
+}
+
+// A target that leaves must not wait until its peers have the configuration
+// that was changed with it. With the newest revision as their base, a receiver
+// knows that it is missing changes before these.
+void peer_link::forward_small_changes(
+    change_message message, std::vector<std::string> const& receivers) {
+    auto const events = std::exchange(message.changes.events, {});
+    message.changes.base = message.changes.revision;
+    std::size_t const empty_bytes = encode(message).size();
+    std::size_t bytes = empty_bytes;
+    std::size_t sent = 0;
+    auto const flush = [&] {
+        if (!message.changes.events.empty() && sent++ < max_early_datagrams)
+            send(message, receivers);
+        message.changes.events.clear();
+        bytes = empty_bytes;
+    };
+    for (auto const& event : events) {
+        auto const size = event.item.key.size() + event.item.value.size() +
+                          event_overhead_bytes;
+        if (empty_bytes + size > max_datagram_bytes)
+            continue;
+        if (bytes + size > max_datagram_bytes)
+            flush();
+        message.changes.events.push_back(event);
+        bytes += size;
+    }
+    flush();
 }
 
 void peer_link::handle(change_message const& message, time_point now) {
--- a/src/yuccabeam/gateway/peer_link_test.cpp
+++ b/src/yuccabeam/gateway/peer_link_test.cpp
@@ -85,6 +85,29 @@
     CHECK(load_at(all, per_domain - 1, "t1") == 0);
 }
 
+// Guards against a target that leaves and is used until its peers have pulled
+// the configuration that was changed with it.
+TEST_CASE("small changes are sent ahead of a large one") {
+    simulated_fleet all(2, 5, target_count);
+    all.run_for(5s);
+    mirror::store_changes changes{
+        5, 90, {{{"configuration", std::string(500'000, 'c'), 6}, false}}};
+    std::set<std::string> small;
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        small.insert("target" + std::to_string(i));
+        changes.events.push_back(
+            {{"target" + std::to_string(i), std::string(200, 't'), 7 + i},
+             i % 2 == 0});
+    }
+    all.at(0).link->forward_changes(changes, all.now());
+    all.run_for(100ms);
+    for (std::size_t i = 1; i < all.size(); ++i) {
+        CAPTURE(i);
+        CHECK(all.at(i).changed_keys == small);
+    }
+    CHECK(all.bad_datagrams() == 0);
+}
+
 // Guards against loads and evidence that depend on a daemon that is gone.
 TEST_CASE("when the relay is killed or can't be heard, the others take another "
           "one within a second") {
--- a/src/yuccabeam/gateway/simulated_fleet.hpp
+++ b/src/yuccabeam/gateway/simulated_fleet.hpp
@@ -47,6 +47,7 @@
     std::unique_ptr<peer_link> link;
     bool runs = true;
     int changes = 0; ///< messages with changes of the store
+    std::set<std::string> changed_keys;
     duration busy{}; ///< time in the handlers of its link
 
     simulated_daemon(std::size_t domain, std::size_t index)
@@ -140,7 +141,9 @@
         };
         out.fill_heartbeat = [](heartbeat&) {};
         out.on_heartbeat = [](heartbeat const&, bool) {};
-        out.on_changes = [&one](change_message const&) {
+        out.on_changes = [&one](change_message const& message) {
+            for (auto const& event : message.changes.events)
+                one.changed_keys.insert(event.item.key);
             return ++one.changes == 1;
         };
         out.on_rejected = [this](codec::message_fault) { ++bad_datagrams_; };
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -312,14 +312,29 @@
     on_era(era, boot_now());
     if (loaded() && era < era_)
         return true;
-    if (!mirror_.apply(changes))
+    if (!mirror_.apply(changes)) {
+        apply_early(changes);
         return false;
+    }
     schedule_.on_peer_changes();
     changed_after_ = schedule_.confirmed_at();
     callbacks_.changed(changes, false);
     return true;
 }
 
+void store_sync::apply_early(mirror::store_changes const& changes) {
+    if (!loaded() ||
+        mirror::era_of(changes.revision) != mirror::era_of(mirror_.revision()))
+        return;
+    mirror::store_changes const early{changes.base, changes.revision,
+                                      mirror_.apply_early(changes.events)};
+    if (early.events.empty())
+        return;
+    counters_.early_changes += early.events.size();
+    changed_after_ = schedule_.confirmed_at();
+    callbacks_.changed(early, false);
+}
+
 void store_sync::on_confirmed(std::uint64_t revision, time_point at) {
     if (revision <= mirror_.revision())
         schedule_.on_confirmed(at);
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -230,6 +230,22 @@
     CHECK_FALSE(f.sync->apply_peer_changes({20, 21, {}}));
 }
 
+// Guards against a target that leaves and is used until a large configuration
+// before it has arrived.
+TEST_CASE("a peer's change is applied before others that are missing") {
+    fixture f({{body("3 a")}});
+    REQUIRE(f.reaches(3));
+    CHECK_FALSE(f.sync->apply_peer_changes({20, 21, {{{"a", "", 21}, true}}}));
+    CHECK(f.sync->mirror().find("a") == nullptr);
+    CHECK(f.sync->mirror().revision() == 3);
+    CHECK(f.sync->counters().early_changes == 1);
+    // The numbers of another era are no later ones.
+    auto const other = revision_in(1, 30);
+    CHECK_FALSE(f.sync->apply_peer_changes(
+        {other, other + 1, {{{"b", "v", other + 1}, false}}}));
+    CHECK(f.sync->mirror().find("b") == nullptr);
+}
+
 // Guards against a configuration or a target from an older state of the store
 // that is taken for the current one.
 TEST_CASE(
--- a/src/yuccabeam/mirror/store_mirror.cpp
+++ b/src/yuccabeam/mirror/store_mirror.cpp
@@ -21,37 +21,66 @@
         auto key = item.key;
         next.emplace(std::move(key), std::move(item));
     }
+    auto const early = changes_after(revision);
     items_ = std::move(next);
     revision_ = revision;
     // A listing doesn't show which keys were removed since the old revision.
     removal_revisions_.clear();
     removal_history_start_ = revision;
+    apply_early(early);
     return true;
 }
 
-void store_mirror::apply_event(store_event const& event) {
+std::vector<store_event>
+store_mirror::changes_after(std::uint64_t revision) const {
+    std::vector<store_event> out;
+    for (auto const& [key, item] : items_)
+        if (item.revision > revision)
+            out.push_back({item, false});
+    for (auto const& [key, at] : removal_revisions_)
+        if (at > revision)
+            out.push_back({{key, "", at}, true});
+    return out;
+}
+
+bool store_mirror::has_newer(std::string const& key,
+                             std::uint64_t revision) const {
+    auto const item = items_.find(key);
+    auto const removal = removal_revisions_.find(key);
+    return (item != items_.end() && item->second.revision >= revision) ||
+           (removal != removal_revisions_.end() && removal->second >= revision);
+}
+
+bool store_mirror::apply_event(store_event const& event) {
     auto const& item = event.item;
-    // The replica contains every change up to its revision, removals
-    // included, so an older event could only restore a removed key.
-    if (item.revision <= revision_)
-        return;
-    auto const existing = items_.find(item.key);
-    if (existing != items_.end() && existing->second.revision >= item.revision)
-        return;
+    // The replica contains every change up to its revision, removals included,
+    // so an older event could only restore a removed key.
+    if (item.revision <= revision_ || has_newer(item.key, item.revision))
+        return false;
     if (event.removed) {
-        if (existing != items_.end())
-            items_.erase(existing);
+        items_.erase(item.key);
         removal_revisions_[item.key] = item.revision;
     } else {
         removal_revisions_.erase(item.key);
         items_[item.key] = item;
     }
+    return true;
+}
+
+std::vector<store_event>
+store_mirror::apply_early(std::vector<store_event> const& events) {
+    std::vector<store_event> out;
+    for (auto const& event : events)
+        if (apply_event(event))
+            out.push_back(event);
+    return out;
 }
 
 void store_mirror::limit_removal_history() {
     if (removal_revisions_.size() <= max_remembered_removals)
         return;
-    removal_revisions_.clear();
+    std::erase_if(removal_revisions_,
+                  [&](auto const& one) { return one.second <= revision_; });
     removal_history_start_ = revision_;
 }
 
@@ -76,14 +105,11 @@
 
 store_changes store_mirror::changes_since(std::uint64_t revision) const {
     bool const incremental = revision > 0 && revision >= removal_history_start_;
-    store_changes out{incremental ? revision : 0, revision_, {}};
-    for (auto const& [key, item] : items_)
-        if (!incremental || item.revision > revision)
-            out.events.push_back({item, false});
     if (incremental)
-        for (auto const& [key, at] : removal_revisions_)
-            if (at > revision)
-                out.events.push_back({{key, "", at}, true});
+        return {revision, revision_, changes_after(revision)};
+    store_changes out{0, revision_, {}};
+    for (auto const& [key, item] : items_)
+        out.events.push_back({item, false});
     return out;
 }
 
