--- a/src/yuccabeam/gateway/copy_compression_test.cpp
+++ b/src/yuccabeam/gateway/copy_compression_test.cpp
@@ -10,9 +10,11 @@
     std::string out;
     for (int i = 0; i < count; ++i) {
         auto const name = std::to_string(i * 7919 % 100'003);
-        out += R"({"resource_kind":"routes","metadata":{"name":"r)" + name +
-               R"("},"spec":{"host":"h.example","prefix":"/p)" + name +
-               R"(/","kind":"idempotent","timeout_s":2.5}})";
+        out.append(R"({"resource_kind":"routes","metadata":{"name":"r)")
+            .append(name)
+            .append(R"("},"spec":{"host":"h.example","prefix":"/p)")
+            .append(name)
+            .append(R"(/","kind":"idempotent","timeout_s":2.5}})");
     }
     return out;
 }
