Reject a response that is cut in its head and continued by the next one

A faulty target sends a part of another response before its answer, or late after one: "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1" and then "HTTP/1.1 200 OK ...". http_parser reads both as one head, with the status and fields of the first and the id of the second, so the attempt counts as not run, or as a success.

Cause: a field's value and the reason after the status may hold any text, and a cut piece that ends within one swallows the next status line.

Change: the beginning of a status line ("HTTP/1.1 200") within a line of a response's head is malformed, in the parser of http1 and in the libcurl reader (one function in http_types.hpp). A malformed response ends the attempt, and what was sent may have run, as before. A field that only names a version ("Via: HTTP/1.1 edge") is still accepted.

One row of client_test expects `malformed` instead of `reset`: it is such a response, and now it ends at the head and not only with the connection; the request may have run in both.

--- a/include/yuccabeam/adapters/http_types.hpp
+++ b/include/yuccabeam/adapters/http_types.hpp
@@ -68,6 +68,18 @@
     return status >= 100 && status <= 599;
 }
 
+/// True if the text holds the beginning of a status line, such as
+/// "HTTP/1.1 200". Within a line of a response's head it shows that a response
+/// was cut there and another one follows.
+inline bool holds_status_line(std::string_view text) {
+    constexpr std::string_view pattern = "HTTP/0.0 000"; // 0: any digit
+    auto const matches = [](char c, char wanted) {
+        return wanted == '0' ? c >= '0' && c <= '9' : c == wanted;
+    };
+    return std::search(text.begin(), text.end(), pattern.begin(), pattern.end(),
+                       matches) != text.end();
+}
+
 /// Value of the first field with this name, or an empty text.
 inline std::string_view field_value(http_fields const& fields,
                                     std::string_view name) {
--- a/src/yuccabeam/adapters/curl_handle.cpp
+++ b/src/yuccabeam/adapters/curl_handle.cpp
@@ -84,7 +84,8 @@
     if (line.starts_with("HTTP/")) {
         reply = {};
         reply.status = status_of_line(line);
-        return is_status(reply.status) && is_field_value(line);
+        return is_status(reply.status) && is_field_value(line) &&
+               !holds_status_line(line.substr(1));
     }
     if (!is_field_line(line))
         return false;
@@ -102,7 +103,7 @@
     auto const colon = line.find(':');
     return colon != std::string_view::npos &&
            is_field_name(line.substr(0, colon)) &&
-           is_field_value(line.substr(colon + 1));
+           is_field_value(line.substr(colon + 1)) && !holds_status_line(line);
 }
 
 bool ends_head(std::string_view line) {
--- a/src/yuccabeam/http1/client_test.cpp
+++ b/src/yuccabeam/http1/client_test.cpp
@@ -71,7 +71,7 @@
      {"HTTP/1.1 200 OK\r\nId: mine\r\nX: HTTP/1.1 200 OK\r\nId: "
       "other\r\nContent-Length: 3\r\n\r\nbad",
       true},
-     client_status::reset,
+     client_status::malformed,
      ""},
     {"another request's response alone",
      {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nbad", true},
--- a/src/yuccabeam/http1/odd_responses.hpp
+++ b/src/yuccabeam/http1/odd_responses.hpp
@@ -44,6 +44,10 @@
                                            "b")},
         {"a zero byte in a value", head(std::string("Field: a") + '\0' + "b")},
         {"DEL in a value", head("Field: a\x7f")},
+        {"a start line that is cut, then the next response",
+         status("HTTP/1.1 200 HTTP/1.1 500 Internal Server Error")},
+        {"a field that is cut, then the next response",
+         status("HTTP/1.1 503 Busy\r\nNot-Run: 1HTTP/1.1 200 OK")},
     };
     struct field {
         char const* guards;
--- a/src/yuccabeam/http1/parser.cpp
+++ b/src/yuccabeam/http1/parser.cpp
@@ -88,6 +88,7 @@
     http_parser state{};
     http_parser_settings settings{};
     message_head head;
+    std::string reason; ///< after the status code, while the head is read
     bool reading_value = false;
     bool head_done = false;
     bool done = false;
@@ -102,6 +103,10 @@
             self(p).head.target.append(at, n);
             return 0;
         };
+        settings.on_status = [](http_parser* p, char const* at, std::size_t n) {
+            self(p).reason.append(at, n);
+            return 0;
+        };
         settings.on_header_field = [](http_parser* p, char const* at,
                                       std::size_t n) {
             return self(p).append_name({at, n}) ? 0 : 1;
@@ -135,6 +140,7 @@
                                                                : HTTP_RESPONSE);
         state.data = this;
         head = {};
+        reason = {};
         reading_value = head_done = done = error = false;
         consumed_before_head_end = 0;
         lines = {};
@@ -177,7 +183,7 @@
     enum class after_head { failure = -1, body = 0, no_body = 1 };
 
     after_head finish_head() {
-        if (!framing_is_known() || !status_is_valid())
+        if (!framing_is_known() || !status_is_valid() || is_spliced())
             return after_head::failure;
         head_done = true;
         consumed_before_head_end =
@@ -216,6 +222,16 @@
                adapters::is_status(static_cast<int>(state.status_code));
     }
 
+    // Whether a response was cut in its head and is continued by the next one.
+    bool is_spliced() const {
+        using adapters::holds_status_line;
+        return kind == message_kind::response &&
+               (holds_status_line(reason) ||
+                std::ranges::any_of(head.fields, [](auto const& field) {
+                    return holds_status_line(field.value);
+                }));
+    }
+
     bool never_has_body() const {
         return kind == message_kind::response &&
                (head.status / 100 == 1 || head.status == 204 ||
--- a/src/yuccabeam/http1/response_reader_test.cpp
+++ b/src/yuccabeam/http1/response_reader_test.cpp
@@ -66,6 +66,37 @@
         }
 }
 
+TEST_CASE("a response that was cut in its head is never continued by the "
+          "next one") {
+    std::string const own_failure =
+        "HTTP/1.1 500 Internal Server Error\r\nId: mine\r\n"
+        "Content-Length: 2\r\n\r\nno";
+    for (auto const& cut : {refusal, chunked_refusal, interim, own})
+        for (auto const& next : {own, own_chunked, own_failure})
+            for (std::size_t size = 1; size < cut.find("\r\n\r\n") + 4; ++size)
+                for (bool const at_once : {true, false}) {
+                    auto const piece = cut.substr(0, size);
+                    CAPTURE(piece);
+                    CAPTURE(at_once);
+                    response_reader reader(awaiting("mine"));
+                    if (at_once) {
+                        reader.feed(piece + next);
+                    } else {
+                        for (auto const c : piece + next)
+                            reader.feed({&c, 1});
+                    }
+                    CHECK(reader.state() == reading_state::malformed);
+                }
+}
+
+TEST_CASE("a field may name a version of HTTP") {
+    response_reader reader(awaiting("mine"));
+    reader.feed("HTTP/1.1 200 OK for HTTP/1.1\r\nVia: HTTP/1.1 edge, "
+                "HTTP/1.1 20 b\r\nId: mine\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(reader.state() == reading_state::complete);
+    CHECK(reader.body == "ok");
+}
+
 TEST_CASE("bytes after the awaited response in the same segment are detected") {
     for (auto const& behind : {std::string("x"), refusal, own}) {
         CAPTURE(behind);
