Return freed large bodies to the system at once

Cause: after a block that was mapped by itself is freed, glibc serves blocks of its size from the heap (the limit follows the largest block freed, up to 32 MB). Bodies grow and end in any order, so they leave gaps on the heap that no other use fills, as large as the budget itself. On any VM the heap could so take twice the budget.

Change: the gateway fixes that limit at 128 KiB, glibc's value at the start. Freed bodies go back to the system.

--- a/src/yuccabeam/gateway/program.cpp
+++ b/src/yuccabeam/gateway/program.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 
 namespace yuccabeam::gateway {
@@ -72,6 +73,16 @@
     });
 }
 
+// Memory that is freed goes back to the system at once for blocks of this size.
+// Otherwise glibc raises the limit to the largest block it has seen, and bodies
+// leave gaps on the heap that can take as much as the budget of all bodies.
+void return_large_blocks() {
+#ifdef M_MMAP_THRESHOLD
+    constexpr int large_block_bytes = 128 << 10;
+    mallopt(M_MMAP_THRESHOLD, large_block_bytes);
+#endif
+}
+
 } // namespace
 
 void run_until_stopped(
@@ -121,6 +132,7 @@
         std::cout << "No faults.\n";
         return 0;
     }
+    return_large_blocks();
     std::signal(SIGPIPE, SIG_IGN);
     // One thread: the VM has a fifth of one core, and a second thread would
     // only add context switches.
