Limit the connections that wait to be accepted by the memory

Cause: a connection that isn't accepted yet has the listener's receive buffer of 128 KiB, the kernel acknowledges what its client sends, and 4,096 could wait so. Chunks of one byte keep the process busy, so many wait.

Change: `max_waiting`, from a sixteenth of the memory: 50 connections on a VM of 160 MB, 81 by default, 16 at least. Beyond it the kernel doesn't answer, and TCP tries again after a second.

--- a/include/yuccabeam/http1/server.hpp
+++ b/include/yuccabeam/http1/server.hpp
@@ -50,6 +50,9 @@
 /// Receive buffer of a connection when many are open, in bytes. Smaller ones
 /// would take several round trips for an ordinary head.
 constexpr std::size_t least_socket_bytes = 8 << 10;
+/// Receive buffer of a connection when few are open, and of one that waits to
+/// be accepted, in bytes. Unread bytes count as memory of the process.
+constexpr std::size_t most_socket_bytes = 128 << 10;
 
 /// Limits of a server whose callers nobody controls.
 struct server_options {
@@ -59,6 +62,10 @@
     /// Receive buffers of all connections beyond `least_socket_bytes` each, in
     /// bytes; 0 means that each has the full size.
     std::size_t socket_bytes = 0;
+    /// Connections that wait to be accepted, each with a buffer of full size.
+    /// While there are as many, the kernel answers no further client, and TCP
+    /// tries again a second later.
+    int max_waiting = 4'096;
     /// Time without a single byte taken after which a response ends.
     std::chrono::milliseconds stalled_response{30'000};
     /// Time in which 1 KiB of a request's body has to arrive, chunk sizes
--- a/src/yuccabeam/gateway/daemon_options.cpp
+++ b/src/yuccabeam/gateway/daemon_options.cpp
@@ -84,6 +84,10 @@
     // connection has its least buffer from one half of it; the first ones get
     // larger buffers from the other half.
     constexpr double socket_share = 0.25;
+    // The same for connections that wait to be accepted.
+    constexpr double waiting_share = 1.0 / 16;
+    constexpr int least_waiting = 16;
+    constexpr int most_waiting = 4'096;
     // The kernel admits about 1.25 times the size that is set.
     constexpr double kernel_factor = 1.5;
     auto const socket_bytes = static_cast<std::size_t>(
@@ -99,6 +103,10 @@
         std::max<std::size_t>(1, std::min(by_descriptors, by_memory));
     out.socket_bytes =
         socket_bytes - out.max_connections * http1::least_socket_bytes;
+    auto const waiting = settings.memory_mb * bytes_per_mb * waiting_share /
+                         kernel_factor / http1::most_socket_bytes;
+    out.max_waiting = static_cast<int>(
+        std::clamp<double>(waiting, least_waiting, most_waiting));
     return out;
 }
 
--- a/src/yuccabeam/gateway/settings_test.cpp
+++ b/src/yuccabeam/gateway/settings_test.cpp
@@ -208,5 +208,9 @@
         CHECK(static_cast<double>(out.max_connections *
                                       http1::least_socket_bytes +
                                   out.socket_bytes) <= row.memory_mb * 1e6 / 4);
+        CHECK(out.max_waiting >= 16);
+        if (row.memory_mb >= 160)
+            CHECK(out.max_waiting * http1::most_socket_bytes <=
+                  row.memory_mb * 1e6 / 16);
     }
 }
--- a/src/yuccabeam/http1/server.cpp
+++ b/src/yuccabeam/http1/server.cpp
@@ -98,7 +98,7 @@
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
+        acceptor.listen(self_->options.max_waiting, error);
     if (error)
         return make_fault(fault_code::unreachable, "cannot listen on " +
                                                        address + ": " +
--- a/src/yuccabeam/http1/server_crowd_test.cpp
+++ b/src/yuccabeam/http1/server_crowd_test.cpp
@@ -2,6 +2,9 @@
 #include "yuccabeam/http1/server.hpp"
 
 #include <doctest/doctest.h>
+#include <fstream>
+#include <sstream>
+#include <sys/socket.h>
 
 using namespace yuccabeam;
 using namespace yuccabeam::http1;
@@ -11,6 +14,28 @@
 
 using tcp = asio::ip::tcp;
 
+/// Unread bytes of all TCP connections whose own port is `port`.
+std::size_t unread_bytes_at(std::uint16_t port) {
+    constexpr int hexadecimal = 16;
+    constexpr auto listening = "0A"; // its queue counts connections
+    auto const after_colon = [](std::string const& text) {
+        return std::stoul(text.substr(text.find(':') + 1), nullptr,
+                          hexadecimal);
+    };
+    std::ifstream file("/proc/net/tcp");
+    std::string line;
+    std::getline(file, line);
+    std::size_t out = 0;
+    while (std::getline(file, line)) {
+        std::istringstream fields(line);
+        std::string row, own, peer, state, queues;
+        fields >> row >> own >> peer >> state >> queues;
+        if (state != listening && after_colon(own) == port)
+            out += after_colon(queues);
+    }
+    return out;
+}
+
 /// A server with a limit of connections that answers `/wait` never.
 struct fixture {
     asio::io_context context;
@@ -146,3 +171,29 @@
     CHECK(f.waiting.empty());
     CHECK(f.under_test.counters().requests_refused == 1);
 }
+
+// Guards against unread bytes of clients that the process hasn't accepted yet.
+TEST_CASE("connections that wait to be accepted hold a limited number of "
+          "bytes") {
+    server_options options;
+    options.max_waiting = 8;
+    fixture f(options);
+    std::vector<tcp::socket> clients;
+    std::string const bytes(most_socket_bytes, 'b');
+    for (int i = 0; i < 100; ++i) {
+        auto& client = clients.emplace_back(f.context, tcp::v4());
+        client.non_blocking(true);
+        tcp::endpoint const server{asio::ip::make_address("127.0.0.1"),
+                                   f.under_test.port()};
+        // Over loopback the kernel connects within the call, or not at all.
+        static_cast<void>(
+            ::connect(client.native_handle(), server.data(), server.size()));
+        std::error_code ignored;
+        client.write_some(asio::buffer(bytes), ignored);
+    }
+    // The server's loop doesn't run, so all that arrives waits in the kernel.
+    auto const waiting = static_cast<std::size_t>(options.max_waiting) + 1;
+    auto const held = unread_bytes_at(f.under_test.port());
+    CHECK(held > 0);
+    CHECK(held <= waiting * most_socket_bytes);
+}
--- a/src/yuccabeam/http1/server_implementation.hpp
+++ b/src/yuccabeam/http1/server_implementation.hpp
@@ -10,10 +10,6 @@
 
 using asio::ip::tcp;
 
-// Size of a connection's receive buffer. As for responses, unread bytes count
-// as memory of the process.
-constexpr std::size_t most_socket_bytes = 128 << 10;
-
 class connection;
 using connection_ptr = std::shared_ptr<connection>;
 
