Ask another source beside a transfer that trickles

A store, a peer or a connection that sends a response byte by byte kept a daemon from asking anybody else for up to 6 s, the limit of the whole transfer: while a response arrives neither a check nor a pull began. A configuration and a target that leaves have to be known after 2.5 s.

Each transfer is measured now: one that brought less than 128 KiB/s over 300 ms is slow, which a link of 10 Mbit/s beside callers is not. Beside a slow response of the store checks and pulls go on, and the daemon reports the store as failing to it, so that another one of its failure domain watches; a slow peer isn't asked again for a second, and another one is. Whoever is complete first ends the others. A pause of this process doesn't count.

"a check reads the change beside a response that trickles" and "changes are pulled from a second peer beside a slow one" failed before: they were decided by the limit of 6 s (failures 1, pull_failures 1 in place of 0). A large response over a slow link still arrives in one transfer ("... 4,200 routes ... 11 Mbit/s", "a response that keeps arriving").

--- a/include/yuccabeam/gateway/store_schedule.hpp
+++ b/include/yuccabeam/gateway/store_schedule.hpp
@@ -88,6 +88,8 @@
     void on_answer(planned_call const& call, bool has_changes,
                    time_point first_byte);
     void on_failure(store_call kind, time_point now);
+    /// The daemon has ended a call, as another source was faster.
+    void on_ended(store_call kind);
     /// The store no longer keeps the changes since this daemon's revision.
     void on_history_gone(store_call kind);
     /// A peer's changes were applied to the copy, so no listing is needed.
--- a/include/yuccabeam/gateway/store_sync.hpp
+++ b/include/yuccabeam/gateway/store_sync.hpp
@@ -4,6 +4,7 @@
 #include "yuccabeam/gateway/formats.hpp"
 #include "yuccabeam/gateway/store_availability.hpp"
 #include "yuccabeam/gateway/store_schedule.hpp"
+#include "yuccabeam/gateway/transfers.hpp"
 #include "yuccabeam/http1/client.hpp"
 #include "yuccabeam/mirror/store_mirror.hpp"
 #include "yuccabeam/telemetry/event_log.hpp"
@@ -24,6 +25,8 @@
     std::chrono::milliseconds call_timeout{1'500};
     /// Of listings, watches, checks and pulls, whose responses may be large.
     http1::progress_limits progress;
+    /// When a transfer is so slow that another source is asked beside it.
+    transfer_pace_options pace;
     /// Time to the first byte of a pull.
     std::chrono::milliseconds pull_timeout{700};
     /// Time for which peers are asked for changes that they are known to have
@@ -46,6 +49,7 @@
     std::uint64_t pull_failures = 0;
     /// Changes applied before others that the copy is missing.
     std::uint64_t early_changes = 0;
+    std::uint64_t slow_transfers = 0;
 };
 
 struct store_sync_callbacks {
@@ -101,6 +105,11 @@
     store_availability const& availability() const { return availability_; }
     /// The last completed list, watch or check failed.
     bool last_call_failed() const { return schedule_.last_call_failed(); }
+    /// The last call failed, or a response of the store is arriving so slowly
+    /// that peers should read from the store in place of this daemon.
+    bool store_impaired() const {
+        return last_call_failed() || transfers_.store_slow();
+    }
     store_sync_counters const& counters() const { return counters_; }
 
 private:
@@ -113,7 +122,10 @@
               handler handler);
     void address_store(http1::client_request& request,
                        std::chrono::milliseconds timeout);
-    void receive(http1::client_request request, http1::client::handler handler);
+    void receive(transfer_source source, http1::client_request request,
+                 http1::client::handler handler);
+    void find_slow_transfers(time_point now);
+    void end_slow_calls();
     http1::client::handler store_handler(handler handler);
     void apply_early(mirror::store_changes const& changes);
     bool awaits_peers(time_point now) const;
@@ -152,12 +164,9 @@
     std::vector<mirror::stored_item> listed_;
     std::uint64_t listing_revision_ = 0;
 
-    /// Responses that have begun to arrive. They share the link, so the store
-    /// isn't asked for another one meanwhile.
-    int receiving_ = 0;
+    transfers transfers_;
     pull_sources sources_;
     std::optional<time_point> pulling_since_; ///< as the copy is behind
-    bool pulling_ = false;
     time_point next_pull_{};
 
     bool entry_call_in_flight_ = false;
--- a/src/yuccabeam/gateway/gateway_daemon.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon.cpp
@@ -303,7 +303,7 @@
     update_fleet_rates(now);
     if (!stopping_since) {
         // Announced at once, so that peers take over watching the store.
-        if (store->last_call_failed() != announced_store_call_failure)
+        if (store->store_impaired() != announced_store_call_failure)
             peers.announce_to_domain(now);
         peers.tick(now);
         ask_for_credit(now);
--- a/src/yuccabeam/gateway/gateway_daemon_updates.cpp
+++ b/src/yuccabeam/gateway/gateway_daemon_updates.cpp
@@ -205,7 +205,7 @@
         store->copy_age(boot_now()));
     if (auto const& period = store->availability().period())
         out.store_available = ages_of(*period, boot_now());
-    out.store_call_failed = store->last_call_failed();
+    out.store_call_failed = store->store_impaired();
     announced_store_call_failure = out.store_call_failed;
     out.budgets = budgets.reports(boot_now());
 }
@@ -284,7 +284,7 @@
         behind_since.reset();
         if (store->loaded())
             store->on_current();
-        else if (store->last_call_failed())
+        else if (store->store_impaired())
             pull_from_seed(now);
         return;
     }
--- a/src/yuccabeam/gateway/store_schedule.cpp
+++ b/src/yuccabeam/gateway/store_schedule.cpp
@@ -87,6 +87,12 @@
     }
 }
 
+void store_schedule::on_ended(store_call kind) {
+    in_flight(kind) = false;
+    if (kind != store_call::check)
+        watching_ = false;
+}
+
 void store_schedule::on_history_gone(store_call kind) {
     in_flight(kind) = false;
     listing_due_ = true;
--- a/src/yuccabeam/gateway/store_sync.cpp
+++ b/src/yuccabeam/gateway/store_sync.cpp
@@ -16,6 +16,8 @@
 using http1::client_result;
 
 constexpr std::chrono::milliseconds min_pull_interval{50};
+// Pulls at the same time, of which all but one are slow.
+constexpr std::size_t max_pulls = 3;
 
 std::string_view to_string(store_status status) {
     switch (status) {
@@ -83,12 +85,15 @@
                        telemetry::event_log& log)
     : executor_(std::move(executor)), client_(client), format_(format),
       options_(std::move(options)), callbacks_(std::move(callbacks)), log_(log),
-      schedule_(options_.schedule), availability_(options_.availability) {}
+      schedule_(options_.schedule), availability_(options_.availability),
+      transfers_(client_, options_.pace) {}
 
 void store_sync::tick(time_point now) {
     maintain_entry(now);
-    auto const plan = schedule_.next(callbacks_.should_watch(), now,
-                                     receiving_ > 0 || awaits_peers(now));
+    find_slow_transfers(now);
+    auto const plan =
+        schedule_.next(callbacks_.should_watch(), now,
+                       transfers_.arriving() || awaits_peers(now));
     if (!plan)
         return;
     if (plan->kind == store_call::list) {
@@ -109,7 +114,8 @@
 void store_sync::read(http1::client_request request, planned_call const& plan,
                       handler handler) {
     address_store(request, plan.timeout);
-    receive(std::move(request), store_handler(std::move(handler)));
+    receive({options_.address, plan.kind}, std::move(request),
+            store_handler(std::move(handler)));
 }
 
 void store_sync::address_store(http1::client_request& request,
@@ -120,21 +126,31 @@
     request.timeout = timeout;
 }
 
-void store_sync::receive(http1::client_request request,
+void store_sync::receive(transfer_source source, http1::client_request request,
                          http1::client::handler handler) {
-    auto const begun = std::make_shared<bool>(false);
     request.progress = options_.progress;
-    request.on_progress = [this, begun](std::uint64_t) {
-        if (!std::exchange(*begun, true))
-            ++receiving_;
-    };
-    client_.start(std::move(request),
-                  [self = shared_from_this(), begun,
-                   handler = std::move(handler)](client_result result) {
-                      if (*begun)
-                          --self->receiving_;
-                      handler(std::move(result));
-                  });
+    transfers_.start(std::move(source), std::move(request), std::move(handler));
+}
+
+// A response that trickles would otherwise keep this daemon from asking anybody
+// else until the limit of the whole transfer.
+void store_sync::find_slow_transfers(time_point now) {
+    for (auto const& slow : transfers_.measure(now)) {
+        ++counters_.slow_transfers;
+        auto const& call = slow.source.call;
+        log_.write("transfer_slow",
+                   {{"from", slow.source.address},
+                    {"call", call ? std::string(to_string(*call)) : "pull"},
+                    {"bytes", std::to_string(slow.bytes)}});
+        if (!call)
+            sources_.on_failed(slow.source.address, now);
+    }
+}
+
+// What they bring is known by now. Their part of the link is free for others.
+void store_sync::end_slow_calls() {
+    for (auto const call : transfers_.end_slow_calls())
+        schedule_.on_ended(call);
 }
 
 http1::client::handler store_sync::store_handler(handler handler) {
@@ -263,6 +279,7 @@
     succeed(plan, response, has_changes);
     changes->base = after;
     mirror_.apply(*changes);
+    end_slow_calls();
     if (has_changes)
         callbacks_.changed(*changes, true);
     callbacks_.confirmed();
@@ -317,6 +334,7 @@
         return false;
     }
     schedule_.on_peer_changes();
+    end_slow_calls();
     changed_after_ = schedule_.confirmed_at();
     callbacks_.changed(changes, false);
     return true;
@@ -346,14 +364,14 @@
 
 void store_sync::pull(std::vector<newer_copy> const& ahead,
                       std::uint64_t random, time_point now) {
-    if (pulling_ || now < next_pull_)
+    if (transfers_.pulls() > transfers_.slow_pulls() ||
+        transfers_.pulls() >= max_pulls || now < next_pull_)
         return;
     if (!pulling_since_)
         pulling_since_ = now;
     auto const source = sources_.choose(ahead, random, now);
     if (source.empty())
         return;
-    pulling_ = true;
     next_pull_ = now + min_pull_interval;
     ++counters_.pulls;
     auto request =
@@ -361,14 +379,15 @@
     request.address = source;
     request.fields.push_back({"Host", source});
     request.timeout = options_.pull_timeout;
-    receive(std::move(request), [this, source](client_result const& result) {
-        pulling_ = false;
-        on_pulled(source, result);
-    });
+    receive({source, std::nullopt}, std::move(request),
+            [self = shared_from_this(), source](client_result const& result) {
+                self->on_pulled(source, result);
+            });
 }
 
 void store_sync::on_current() {
     sources_.on_current();
+    transfers_.end_slow_pulls();
     pulling_since_.reset();
 }
 
--- a/src/yuccabeam/gateway/store_sync_test.cpp
+++ b/src/yuccabeam/gateway/store_sync_test.cpp
@@ -2,6 +2,7 @@
 
 #include "../http1/scripted_peer.hpp"
 #include "yuccabeam/adapters/clock.hpp"
+#include "yuccabeam/gateway/peer_message.hpp"
 #include "yuccabeam/mirror/store_era.hpp"
 
 #include <doctest/doctest.h>
@@ -71,6 +72,12 @@
     return out;
 }
 
+// A byte at a time, without a pause that would end the transfer.
+scripted_peer::reply trickling(std::string const& text) {
+    return in_pieces(text + std::string(100, ' '), 1,
+                     std::chrono::milliseconds(200));
+}
+
 constexpr std::chrono::milliseconds slow_link_pause{10};
 // What callers leave of 11 Mbit/s in that time, in bytes.
 constexpr std::size_t slow_link_piece = 8'250;
@@ -91,6 +98,7 @@
     store_format format = plain_format();
     telemetry::event_log log{{"vm", open("/dev/null", O_WRONLY)}};
     std::shared_ptr<store_sync> sync;
+    std::function<void(time_point)> before_tick = [](time_point) {};
 
     explicit fixture(
         std::vector<scripted_peer::reply> replies,
@@ -138,6 +146,7 @@
         auto const end = adapters::boot_now() + guard_time;
         wake();
         http1::run_until(context, [&] {
+            before_tick(adapters::boot_now());
             sync->tick(adapters::boot_now());
             return sync->mirror().revision() >= revision ||
                    adapters::boot_now() >= end;
@@ -206,6 +215,39 @@
     CHECK(f.sync->mirror().find("b") == nullptr);
 }
 
+// Guards against a gray store or connection that sends byte by byte, so that no
+// change is seen until the limit of the whole transfer.
+TEST_CASE("a check reads the change beside a response that trickles") {
+    fixture f({{body("3 a")}, trickling("5 b"), {body("5 b")}},
+              std::chrono::milliseconds(300));
+    REQUIRE(f.reaches(5));
+    CHECK(f.store.requests().size() == 3);
+    CHECK(f.sync->counters().slow_transfers == 1);
+    // No limit has ended the response that trickles.
+    CHECK(f.sync->counters().failures == 0);
+    CHECK_FALSE(f.sync->store_impaired());
+}
+
+// Guards against a gray peer that sends byte by byte and is waited for while
+// others have the same copy.
+TEST_CASE("changes are pulled from a second peer beside a slow one") {
+    fixture f({{body("3 a")}});
+    auto const changes = encode_changes({3, 9, {{{"b", "v", 9}, false}}}, {});
+    scripted_peer slow(f.context, {trickling(changes)});
+    scripted_peer sound(f.context, {{body(changes)}});
+    REQUIRE(f.reaches(3));
+    std::vector<newer_copy> const ahead = {{slow.address(), 9},
+                                           {sound.address(), 9}};
+    // The addresses are in order, and the number chooses one of them.
+    std::uint64_t const random = slow.address() < sound.address() ? 0 : 1;
+    f.before_tick = [&](time_point now) { f.sync->pull(ahead, random, now); };
+    REQUIRE(f.reaches(9));
+    CHECK(slow.requests().size() == 1);
+    CHECK(f.sync->counters().pulls == 2);
+    CHECK(f.sync->counters().pull_failures == 0);
+    CHECK(f.sync->mirror().find("b") != nullptr);
+}
+
 // Guards against a copy that counts as newer than the store's answer, as its
 // transfer took long.
 TEST_CASE("a copy is confirmed as of the first byte of the answer") {
