--- a/src/yuccabeam/gateway/daemon_gauges.cpp
+++ b/src/yuccabeam/gateway/daemon_gauges.cpp
@@ -23,6 +23,8 @@
         {"store_call_failures", static_cast<double>(calls.failures)},
         {"peer_pulls", static_cast<double>(calls.pulls)},
         {"peer_pull_failures", static_cast<double>(calls.pull_failures)},
+        {"slow_transfers", static_cast<double>(calls.slow_transfers)},
+        {"store_changes_early", static_cast<double>(calls.early_changes)},
         {"log_lines", static_cast<double>(lines.written)},
         {"log_lines_lost",
          static_cast<double>(lines.over_rate + lines.blocked)},
