--- a/src/yuccabeam/gateway/transfer_pace_test.cpp
+++ b/src/yuccabeam/gateway/transfer_pace_test.cpp
@@ -1,5 +1,6 @@
 #include "yuccabeam/gateway/transfer_pace.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <functional>
 
